Workspace and the decision crate

Cause: nothing existed. Change: cargo workspace, and crates/core with the sans-IO state machines for admission, retries, tickets, quarantine, routing, membership and traces. Conclusion: a base for the whole path.

--- /dev/null
+++ b/crates/core/src/admission/gate.rs
@@ -0,0 +1,437 @@
+//! Gate of one upstream.
+
+use std::time::Duration;
+
+use super::{
+    AdaptiveLimit, LimitConfig, LimitSample, LoadLevel, Priority, RankedQueue, Tier, TokenBucket,
+    Waiting,
+};
+use crate::class::ClassPolicy;
+use crate::collections::FastMap;
+use crate::ewma::Ewma;
+use crate::ids::{CallerKey, ClassName, TryId};
+use crate::reason::Reason;
+use crate::time::Timestamp;
+
+/// Bounds of a [`Gate`].
+#[derive(Clone, Debug)]
+pub struct GateConfig {
+    /// Waiting requests per announced slot.
+    pub queue_per_slot: u32,
+    /// Whether the limit adapts; otherwise it is the announced slots.
+    pub adaptive: bool,
+}
+
+impl GateConfig {
+    /// Creates the default bounds: four waiting requests per slot, adaptive limit.
+    pub fn new() -> GateConfig {
+        GateConfig { queue_per_slot: 4, adaptive: true }
+    }
+
+    /// Sets whether the limit adapts.
+    pub fn with_adaptive(mut self, adaptive: bool) -> GateConfig {
+        self.adaptive = adaptive;
+        self
+    }
+
+    /// Sets the waiting requests per announced slot.
+    pub fn with_queue_per_slot(mut self, queue_per_slot: u32) -> GateConfig {
+        self.queue_per_slot = queue_per_slot;
+        self
+    }
+}
+
+impl Default for GateConfig {
+    fn default() -> GateConfig {
+        GateConfig::new()
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Arrival<'a> {
+    /// Id of the try.
+    pub id: TryId,
+    /// Class of the request.
+    pub class: &'a ClassPolicy,
+    /// Caller whose requests share fairly.
+    pub caller: &'a CallerKey,
+    /// Time by which the answer must be complete.
+    pub deadline: Timestamp,
+}
+
+/// How a dispatched request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// A complete answer that is not a server error.
+    Answered,
+    /// The upstream refused because it is overloaded.
+    Overloaded,
+    /// An error, a cut answer, a timeout or a cancellation.
+    Failed,
+}
+
+/// What the caller of the gate has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to the upstream.
+    Dispatch(TryId),
+    /// Keep the request waiting.
+    Wait(TryId),
+    /// Refuse the request; it was not run.
+    Refuse(TryId, Reason),
+}
+
+/// Counts since the gate was made.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GateStats {
+    /// Requests sent to the upstream.
+    pub dispatched: u64,
+    /// Requests that had to wait.
+    pub queued: u64,
+    /// Requests refused.
+    pub refused: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    class: ClassName,
+    started: Timestamp,
+    was_full: bool,
+}
+
+/// Most classes whose service times or rate limits are kept.
+const MAX_CLASSES: usize = 256;
+/// Weight of one sample in a class's mean service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// Service time assumed before the first sample.
+const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(5);
+
+/// Decides which request an upstream runs next and which one is refused.
+///
+/// The gate is the only way to its upstream, so `in_flight` is exact.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    cfg: GateConfig,
+    limit: AdaptiveLimit,
+    queue: RankedQueue,
+    running: FastMap<TryId, Running>,
+    rates: FastMap<ClassName, TokenBucket>,
+    class_times: FastMap<ClassName, Ewma>,
+    mean_time: Ewma,
+    leaving: bool,
+    stats: GateStats,
+}
+
+impl Gate {
+    /// Creates the gate of a cold upstream with this many slots.
+    pub fn new(cfg: GateConfig, slots: u32) -> Gate {
+        Gate {
+            cfg,
+            limit: AdaptiveLimit::new(LimitConfig::new(slots)),
+            queue: RankedQueue::new(),
+            running: FastMap::default(),
+            rates: FastMap::default(),
+            class_times: FastMap::default(),
+            mean_time: Ewma::default(),
+            leaving: false,
+            stats: GateStats::default(),
+        }
+    }
+
+    /// Returns the requests in flight at the upstream.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the requests waiting for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the current limit of the requests in flight.
+    pub fn limit(&self) -> u32 {
+        if self.cfg.adaptive { self.limit.get() } else { self.limit.slots() }
+    }
+
+    /// Returns the counts since the gate was made.
+    pub fn stats(&self) -> GateStats {
+        self.stats
+    }
+
+    /// Tells whether the upstream is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Changes the announced slots.
+    pub fn set_slots(&mut self, now: Timestamp, slots: u32) -> Vec<Action> {
+        self.limit.set_slots(slots);
+        self.fill_slots(now)
+    }
+
+    /// Marks the upstream as leaving: what waits is refused, what runs may finish.
+    pub fn leave(&mut self) -> Vec<Action> {
+        self.leaving = true;
+        let mut actions = Vec::new();
+        while let Some(waiting) = self.queue.pop_first() {
+            self.stats.refused += 1;
+            actions.push(Action::Refuse(waiting.id, Reason::Leaving));
+        }
+        actions
+    }
+
+    /// Takes back a leave, for an upstream that announced itself as serving again.
+    pub fn resume(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Decides on an arriving request.
+    ///
+    /// ```
+    /// use snipehollow_core::admission::{Action, Arrival, Gate, GateConfig};
+    /// use snipehollow_core::class::{ClassPolicy, Rank};
+    /// use snipehollow_core::ids::{CallerKey, ClassName, TryId};
+    /// use snipehollow_core::time::Timestamp;
+    ///
+    /// let mut gate = Gate::new(GateConfig::new(), 4);
+    /// let class = ClassPolicy::new(ClassName::new("quote").unwrap(), Rank(0));
+    /// let caller = CallerKey::new("branch-7").unwrap();
+    /// let arrival = Arrival {
+    ///     id: TryId(1),
+    ///     class: &class,
+    ///     caller: &caller,
+    ///     deadline: Timestamp::from_millis(500),
+    /// };
+    /// assert_eq!(gate.arrive(Timestamp::ZERO, &arrival), [Action::Dispatch(TryId(1))]);
+    /// ```
+    pub fn arrive(&mut self, now: Timestamp, arrival: &Arrival<'_>) -> Vec<Action> {
+        if self.leaving {
+            return vec![self.refuse(arrival.id, Reason::Leaving)];
+        }
+        if arrival.deadline <= now {
+            return vec![self.refuse(arrival.id, Reason::DeadlinePassed)];
+        }
+        let waiting = self.waiting_entry(now, arrival);
+        if self.queue.is_empty() && self.has_free_slot() {
+            return vec![self.dispatch(now, waiting.id, waiting.class)];
+        }
+        if self.is_late(now, &waiting) {
+            return vec![self.refuse(arrival.id, Reason::PredictedLate)];
+        }
+        self.enqueue(now, waiting)
+    }
+
+    /// Takes in the end of a dispatched request and fills the freed slot.
+    ///
+    /// `own_time` is the time the upstream worked itself, without its own deeper calls.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        id: TryId,
+        completion: Completion,
+        own_time: Duration,
+    ) -> Vec<Action> {
+        let Some(running) = self.running.remove(&id) else {
+            return Vec::new();
+        };
+        let sample = LimitSample {
+            class: &running.class,
+            own_time,
+            succeeded: completion == Completion::Answered,
+            overloaded: completion == Completion::Overloaded,
+        };
+        self.limit.observe(now, &sample, running.was_full);
+        if completion == Completion::Answered {
+            self.record_service_time(&running.class, now.since(running.started));
+        }
+        self.fill_slots(now)
+    }
+
+    /// Removes a waiting request whose caller left; false if it does not wait.
+    pub fn cancel_waiting(&mut self, id: TryId) -> bool {
+        self.queue.remove(id).is_some()
+    }
+
+    /// Refuses waiting requests that can no longer meet their deadline.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Action> {
+        let expired: Vec<TryId> =
+            self.queue.iter().filter(|w| w.deadline <= now).map(|w| w.id).collect();
+        expired
+            .into_iter()
+            .map(|id| {
+                self.queue.remove(id);
+                self.refuse(id, Reason::DeadlinePassed)
+            })
+            .collect()
+    }
+
+    /// Returns the load to report to entries.
+    pub fn level(&self) -> LoadLevel {
+        LoadLevel {
+            in_flight: self.in_flight() as u32,
+            limit: self.limit(),
+            queued: self.queued() as u32,
+            admits_rank: self.admitted_rank(),
+        }
+    }
+
+    fn admitted_rank(&self) -> Option<u8> {
+        if self.leaving {
+            return None;
+        }
+        if self.queue.len() < self.queue_bound() {
+            return Some(u8::MAX);
+        }
+        let last = self.queue.last()?;
+        match last.priority.tier {
+            Tier::Spare => Some(u8::MAX),
+            Tier::Regular => last.priority.rank.0.checked_sub(1),
+        }
+    }
+
+    fn queue_bound(&self) -> usize {
+        (self.limit.slots() * self.cfg.queue_per_slot) as usize
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.limit() as usize
+    }
+
+    fn waiting_entry(&mut self, now: Timestamp, arrival: &Arrival<'_>) -> Waiting {
+        let tier = self.tier(now, arrival.class);
+        Waiting {
+            id: arrival.id,
+            priority: Priority { tier, rank: arrival.class.rank },
+            class: arrival.class.name.clone(),
+            caller: arrival.caller.clone(),
+            worth: arrival.class.worth,
+            deadline: arrival.deadline,
+            cost_us: self.class_time(&arrival.class.name).as_micros() as u64,
+        }
+    }
+
+    fn tier(&mut self, now: Timestamp, class: &ClassPolicy) -> Tier {
+        let Some(limit) = &class.rate_limit else {
+            return Tier::Regular;
+        };
+        if self.rates.len() >= MAX_CLASSES && !self.rates.contains_key(&class.name) {
+            return Tier::Regular;
+        }
+        let bucket = self
+            .rates
+            .entry(class.name.clone())
+            .or_insert_with(|| TokenBucket::new(limit.clone(), now));
+        if bucket.limit() != limit {
+            *bucket = TokenBucket::new(limit.clone(), now);
+        }
+        if bucket.take(now) { Tier::Regular } else { Tier::Spare }
+    }
+
+    /// Tells whether the request would end after its deadline, given only the work that
+    /// would be served before it.
+    fn is_late(&self, now: Timestamp, waiting: &Waiting) -> bool {
+        let ahead = self.queue.ahead_of(waiting.priority) as u32 + 1;
+        let mean = self.mean_time();
+        let wait = mean.mul_f64(f64::from(ahead) / f64::from(self.limit().max(1)));
+        let service = self.class_time(&waiting.class);
+        now + wait + service > waiting.deadline
+    }
+
+    fn enqueue(&mut self, now: Timestamp, waiting: Waiting) -> Vec<Action> {
+        let id = waiting.id;
+        let priority = waiting.priority;
+        self.queue.push(waiting);
+        let mut actions = Vec::new();
+        if self.queue.len() > self.queue_bound() {
+            actions.extend(self.evict(id, priority));
+        }
+        if actions.contains(&Action::Refuse(id, Reason::QueueFull)) {
+            return actions;
+        }
+        self.stats.queued += 1;
+        actions.push(Action::Wait(id));
+        actions.extend(self.fill_slots(now));
+        actions
+    }
+
+    /// Removes the least important waiting request, which may be the one that just arrived.
+    fn evict(&mut self, arrived: TryId, arrived_priority: Priority) -> Option<Action> {
+        let evicted = self.queue.pop_last()?;
+        invariant!(
+            evicted.priority >= arrived_priority
+                && self.queue.last().is_none_or(|last| last.priority <= evicted.priority),
+            "shed try {} of rank {} while a less important request waits",
+            evicted.id.0,
+            evicted.priority.rank.0
+        );
+        let reason = if evicted.id == arrived { Reason::QueueFull } else { Reason::Evicted };
+        Some(self.refuse(evicted.id, reason))
+    }
+
+    fn fill_slots(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.has_free_slot() {
+            let Some(waiting) = self.queue.pop_first() else {
+                break;
+            };
+            actions.push(self.start_or_refuse(now, waiting));
+        }
+        actions
+    }
+
+    fn start_or_refuse(&mut self, now: Timestamp, waiting: Waiting) -> Action {
+        invariant!(
+            self.queue.first().is_none_or(|next| next.priority >= waiting.priority),
+            "dispatch of try {} before a more important request",
+            waiting.id.0
+        );
+        if waiting.deadline <= now {
+            return self.refuse(waiting.id, Reason::DeadlinePassed);
+        }
+        if now + self.class_time(&waiting.class) > waiting.deadline {
+            return self.refuse(waiting.id, Reason::PredictedLate);
+        }
+        self.dispatch(now, waiting.id, waiting.class)
+    }
+
+    fn dispatch(&mut self, now: Timestamp, id: TryId, class: ClassName) -> Action {
+        invariant!(!self.leaving, "dispatch of try {} to a leaving upstream", id.0);
+        invariant!(
+            self.running.len() < self.limit.slots() as usize,
+            "{} requests in flight at an upstream of {} slots",
+            self.running.len() + 1,
+            self.limit.slots()
+        );
+        let was_full = self.running.len() + 1 >= self.limit() as usize;
+        let replaced = self.running.insert(id, Running { class, started: now, was_full });
+        invariant!(replaced.is_none(), "try {} dispatched twice", id.0);
+        self.stats.dispatched += 1;
+        Action::Dispatch(id)
+    }
+
+    fn refuse(&mut self, id: TryId, reason: Reason) -> Action {
+        self.stats.refused += 1;
+        Action::Refuse(id, reason)
+    }
+
+    fn record_service_time(&mut self, class: &ClassName, time: Duration) {
+        let micros = time.as_micros() as f64;
+        self.mean_time.add(micros, SERVICE_TIME_WEIGHT);
+        if self.class_times.len() < MAX_CLASSES || self.class_times.contains_key(class) {
+            self.class_times.entry(class.clone()).or_default().add(micros, SERVICE_TIME_WEIGHT);
+        }
+    }
+
+    fn mean_time(&self) -> Duration {
+        let micros = self.mean_time.get().unwrap_or(UNKNOWN_SERVICE_TIME.as_micros() as f64);
+        Duration::from_micros(micros as u64)
+    }
+
+    fn class_time(&self, class: &ClassName) -> Duration {
+        match self.class_times.get(class).and_then(Ewma::get) {
+            Some(micros) => Duration::from_micros(micros as u64),
+            None => self.mean_time(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/member.rs
@@ -0,0 +1,97 @@
+//! What is known of one member.
+
+use std::net::SocketAddr;
+
+use crate::ids::{HostName, Incarnation, RegionName, ServiceName, ZoneName};
+use crate::time::Timestamp;
+
+key_type! {
+    /// State of a member; of two states of one incarnation the greater wins.
+    pub enum MemberState {
+        /// Answers probes.
+        Alive,
+        /// Did not answer; may still refute.
+        Suspect,
+        /// Declared dead.
+        Dead,
+        /// Stopped by plan.
+        Left,
+    }
+
+    /// State of the upstream on a host.
+    pub enum UpstreamState {
+        /// Announced, not ready for work.
+        Starting,
+        /// Takes work.
+        Serving,
+        /// Takes no new work.
+        Leaving,
+    }
+}
+
+data_type! {
+    /// The upstream that a host announced.
+    pub struct UpstreamFacts {
+        /// Service of the upstream.
+        pub service: ServiceName,
+        /// Requests it may run at once.
+        pub slots: u32,
+        /// State.
+        pub state: UpstreamState,
+    }
+
+    /// What a host says of itself; changes only with a higher incarnation.
+    pub struct HostFacts {
+        /// Address for calls between nodes.
+        pub peer: SocketAddr,
+        /// Address for control messages between nodes.
+        pub control: SocketAddr,
+        /// Availability zone.
+        pub zone: ZoneName,
+        /// Region.
+        pub region: RegionName,
+        /// Upstream, if one is announced.
+        pub upstream: Option<UpstreamFacts>,
+    }
+
+    /// State of one member, as it spreads between nodes.
+    pub struct MemberUpdate {
+        /// Name of the host.
+        pub host: HostName,
+        /// Incarnation that the state is about.
+        pub incarnation: Incarnation,
+        /// State.
+        pub state: MemberState,
+        /// What the host said of itself in that incarnation.
+        pub facts: HostFacts,
+    }
+}
+
+impl MemberUpdate {
+    /// Tells whether this update replaces one about the same host.
+    pub fn supersedes(&self, other: &MemberUpdate) -> bool {
+        (self.incarnation, self.state) > (other.incarnation, other.state)
+    }
+
+    /// Returns the service that the host takes work for, if any.
+    pub fn serving(&self) -> Option<&UpstreamFacts> {
+        let alive = matches!(self.state, MemberState::Alive | MemberState::Suspect);
+        self.facts.upstream.as_ref().filter(|up| alive && up.state == UpstreamState::Serving)
+    }
+}
+
+/// A member and when its state last changed here.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The newest update.
+    pub update: MemberUpdate,
+    /// When it was taken in.
+    pub changed: Timestamp,
+}
+
+impl Member {
+    /// Tells whether the member may still answer.
+    pub fn is_live(&self) -> bool {
+        matches!(self.update.state, MemberState::Alive | MemberState::Suspect)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,23 @@
+//! Membership of one availability zone, and what is known of the others.
+//!
+//! [`Membership`] follows SWIM: each period a node probes one member, indirectly if the
+//! direct probe fails, and piggybacks recent changes on every message. Bucketed digests
+//! repair what gossip missed. [`Directory`] holds the hosts of called services in other
+//! zones, pulled from any member there, so that no role grows with the fleet.
+
+mod directory;
+mod gossip;
+mod member;
+mod rendezvous;
+mod swim;
+mod sync;
+
+pub use directory::{
+    Directory, DirectoryAction, DirectoryAnswer, DirectoryConfig, DirectoryQuery, ServiceHosts,
+    WantedService,
+};
+pub use gossip::{GossipItem, GossipMessage, GossipQueue};
+pub use member::{HostFacts, Member, MemberState, MemberUpdate, UpstreamFacts, UpstreamState};
+pub use rendezvous::rank_by_rendezvous;
+pub use swim::{MemberAction, Membership, MembershipConfig, ProbeId};
+pub use sync::{BUCKETS, BucketDigests, SyncAnswer};
--- /dev/null
+++ b/crates/core/src/membership/swim.rs
@@ -0,0 +1,583 @@
+//! Membership of one availability zone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::gossip::{GossipItem, GossipMessage, GossipQueue};
+use super::member::{HostFacts, Member, MemberState, MemberUpdate, UpstreamFacts};
+use super::rendezvous::rank_by_rendezvous;
+use super::sync::{BucketDigests, SyncAnswer};
+use crate::collections::FastMap;
+use crate::ids::{HostName, Incarnation};
+use crate::rng::Rng;
+use crate::time::Timestamp;
+
+key_type! {
+    /// Number of one probe.
+    pub struct ProbeId(pub u64);
+}
+
+/// Times of the protocol.
+#[derive(Clone, Debug)]
+pub struct MembershipConfig {
+    /// Time between two probes.
+    pub period: Duration,
+    /// Time after which a direct probe has failed.
+    pub probe_timeout: Duration,
+    /// Time after which the indirect probes have failed, from the start of the probe.
+    pub indirect_timeout: Duration,
+    /// Time in which a suspect may refute.
+    pub suspicion: Duration,
+    /// Time for which dead and left members are remembered.
+    pub retention: Duration,
+    /// Members asked to probe indirectly.
+    pub indirect_probes: usize,
+    /// Gap between two ticks that is taken as a pause of this process.
+    pub pause: Duration,
+    /// Least time between two synchronizations that this node starts.
+    pub sync_interval: Duration,
+}
+
+impl MembershipConfig {
+    /// Creates the default times: a probe a second, suspicion of three seconds.
+    pub fn new() -> MembershipConfig {
+        MembershipConfig {
+            period: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            indirect_timeout: Duration::from_millis(800),
+            suspicion: Duration::from_secs(3),
+            retention: Duration::from_secs(600),
+            indirect_probes: 3,
+            pause: Duration::from_millis(1_500),
+            sync_interval: Duration::from_secs(5),
+        }
+    }
+}
+
+impl Default for MembershipConfig {
+    fn default() -> MembershipConfig {
+        MembershipConfig::new()
+    }
+}
+
+/// What the caller has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberAction {
+    /// Probe a member; report with `on_answer` or `on_probe_failed`.
+    Probe {
+        /// Number of the probe.
+        probe: ProbeId,
+        /// Address of the member.
+        to: SocketAddr,
+    },
+    /// Ask a member to probe another one; report an answer with `on_answer`.
+    ProbeVia {
+        /// Number of the probe.
+        probe: ProbeId,
+        /// Address of the member that is asked.
+        via: SocketAddr,
+        /// Address of the member to probe.
+        target: SocketAddr,
+    },
+    /// Send the bucket digests to a member and take in its answer with `on_sync`.
+    Sync {
+        /// Address of the member.
+        with: SocketAddr,
+    },
+    /// This process was paused: what it believed may be stale.
+    Resumed {
+        /// Length of the pause.
+        gap: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    host: HostName,
+    addr: SocketAddr,
+    started: Timestamp,
+    indirect: bool,
+}
+
+/// Differing digests in a row before a synchronization.
+const MISMATCHES_TO_SYNC: u32 = 4;
+/// Periods between two probes of a dead member, to notice a healed partition.
+const DEAD_PROBE_PERIODS: u64 = 5;
+/// Periods between two attempts to reach a seed that is not a known member.
+const SEED_PERIODS: u64 = 10;
+
+/// State of the protocol at one node.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    cfg: MembershipConfig,
+    host: HostName,
+    members: FastMap<HostName, Member>,
+    digests: BucketDigests,
+    gossip: GossipQueue,
+    probes: FastMap<ProbeId, Probe>,
+    round: Vec<HostName>,
+    seeds: Vec<SocketAddr>,
+    next_probe: u64,
+    periods: u64,
+    next_period: Timestamp,
+    last_tick: Option<Timestamp>,
+    last_sync: Option<Timestamp>,
+    mismatches: u32,
+    changes: u64,
+}
+
+impl Membership {
+    /// Creates the state of a node that knows only itself and its seeds.
+    pub fn new(
+        cfg: MembershipConfig,
+        host: HostName,
+        incarnation: Incarnation,
+        facts: HostFacts,
+        seeds: Vec<SocketAddr>,
+    ) -> Membership {
+        let seeds = seeds.into_iter().filter(|seed| *seed != facts.control).collect();
+        let mut membership = Membership {
+            cfg,
+            host: host.clone(),
+            members: FastMap::default(),
+            digests: BucketDigests::empty(),
+            gossip: GossipQueue::default(),
+            probes: FastMap::default(),
+            round: Vec::new(),
+            seeds,
+            next_probe: 0,
+            periods: 0,
+            next_period: Timestamp::ZERO,
+            last_tick: None,
+            last_sync: None,
+            mismatches: 0,
+            changes: 0,
+        };
+        let update = MemberUpdate { host, incarnation, state: MemberState::Alive, facts };
+        membership.store(Timestamp::ZERO, update);
+        membership
+    }
+
+    /// Returns the name of this node's host.
+    pub fn host(&self) -> &HostName {
+        &self.host
+    }
+
+    /// Returns this node's own incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.own().update.incarnation
+    }
+
+    /// Returns a number that rises with every change of the members.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Iterates over all members, this node included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns one member.
+    pub fn get(&self, host: &HostName) -> Option<&Member> {
+        self.members.get(host)
+    }
+
+    /// Returns the number of live members, this node included.
+    pub fn live_count(&self) -> usize {
+        self.members.values().filter(|member| member.is_live()).count()
+    }
+
+    /// Returns the live members that rank first for `key` by rendezvous hashing.
+    pub fn first_for(&self, key: &str, count: usize) -> Vec<&HostName> {
+        let live = self.members.values().filter(|m| m.is_live()).map(|m| &m.update.host);
+        rank_by_rendezvous(key, live, count)
+    }
+
+    /// Adds seeds, for example those read from the store.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        let own = self.own().update.facts.control;
+        for seed in seeds {
+            if *seed != own && !self.seeds.contains(seed) {
+                self.seeds.push(*seed);
+            }
+        }
+    }
+
+    /// Changes what this host says of its upstream.
+    pub fn set_upstream(&mut self, now: Timestamp, upstream: Option<UpstreamFacts>) {
+        let own = self.own().update.clone();
+        if own.facts.upstream == upstream {
+            return;
+        }
+        let facts = HostFacts { upstream, ..own.facts };
+        self.raise_incarnation(now, own.incarnation, MemberState::Alive, facts);
+    }
+
+    /// Marks this host as stopped by plan.
+    pub fn leave(&mut self, now: Timestamp) {
+        let own = self.own().update.clone();
+        self.raise_incarnation(now, own.incarnation, MemberState::Left, own.facts);
+    }
+
+    /// Adds a change of another kind to what is piggybacked.
+    pub fn spread(&mut self, item: GossipItem) {
+        self.gossip.push(item);
+    }
+
+    /// Advances timers: probes, suspicions, seeds. Call several times a period.
+    ///
+    /// ```
+    /// use snipehollow_core::ids::{HostName, Incarnation, RegionName, ZoneName};
+    /// use snipehollow_core::membership::{HostFacts, MemberAction, Membership, MembershipConfig};
+    /// use snipehollow_core::rng::Rng;
+    /// use snipehollow_core::time::Timestamp;
+    ///
+    /// let facts = HostFacts {
+    ///     peer: "127.0.0.1:7000".parse().unwrap(),
+    ///     control: "127.0.0.1:7100".parse().unwrap(),
+    ///     zone: ZoneName::new("gauteng-a").unwrap(),
+    ///     region: RegionName::new("gauteng").unwrap(),
+    ///     upstream: None,
+    /// };
+    /// let seed = "127.0.0.1:7101".parse().unwrap();
+    /// let mut membership = Membership::new(
+    ///     MembershipConfig::new(),
+    ///     HostName::new("host-1").unwrap(),
+    ///     Incarnation(1),
+    ///     facts,
+    ///     vec![seed],
+    /// );
+    /// let actions = membership.tick(Timestamp::ZERO, &mut Rng::new(1));
+    /// assert_eq!(actions, [MemberAction::Sync { with: seed }]);
+    /// ```
+    pub fn tick(&mut self, now: Timestamp, rng: &mut Rng) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.since(last));
+        self.last_tick = Some(now);
+        if gap > self.cfg.pause {
+            self.resume(gap);
+            actions.push(MemberAction::Resumed { gap });
+        }
+        self.time_out_probes(now, rng, &mut actions);
+        self.time_out_suspects(now);
+        if now >= self.next_period {
+            self.next_period = now + self.cfg.period;
+            self.periods += 1;
+            self.start_period(now, rng, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the message to send with a probe or an answer.
+    pub fn message(&mut self, revision: u64) -> GossipMessage {
+        let members = self.live_count();
+        GossipMessage {
+            from: self.host.clone(),
+            items: self.gossip.take(members),
+            digest: self.digests.total(),
+            revision,
+        }
+    }
+
+    /// Takes in the message of a probe or an answer; returns the items that are not about
+    /// members.
+    pub fn on_message(&mut self, now: Timestamp, message: &GossipMessage) -> Vec<GossipItem> {
+        let mut others = Vec::new();
+        for item in &message.items {
+            match item {
+                GossipItem::Member(update) => self.merge(now, update),
+                GossipItem::Quarantine(..) => others.push(item.clone()),
+            }
+        }
+        self.tell_if_held_dead(&message.from);
+        let differs = message.digest != self.digests.total();
+        self.mismatches = if differs { self.mismatches + 1 } else { 0 };
+        others
+    }
+
+    /// Takes in the answer to a probe, direct or indirect.
+    pub fn on_answer(
+        &mut self,
+        now: Timestamp,
+        probe: ProbeId,
+        message: &GossipMessage,
+    ) -> Vec<GossipItem> {
+        self.probes.remove(&probe);
+        self.on_message(now, message)
+    }
+
+    /// Records that a direct probe failed, before its timeout.
+    pub fn on_probe_failed(&mut self, probe: ProbeId, rng: &mut Rng) -> Vec<MemberAction> {
+        let Some(state) = self.probes.get_mut(&probe) else {
+            return Vec::new();
+        };
+        if state.indirect {
+            return Vec::new();
+        }
+        state.indirect = true;
+        let (host, target) = (state.host.clone(), state.addr);
+        let mut helpers: Vec<SocketAddr> = self
+            .others()
+            .filter(|m| m.update.state == MemberState::Alive && m.update.host != host)
+            .map(|m| m.update.facts.control)
+            .collect();
+        helpers.sort_unstable();
+        rng.sample(&mut helpers, self.cfg.indirect_probes)
+            .iter()
+            .map(|via| MemberAction::ProbeVia { probe, via: *via, target })
+            .collect()
+    }
+
+    /// Returns the digests to send for a synchronization.
+    pub fn digests(&self) -> &BucketDigests {
+        &self.digests
+    }
+
+    /// Answers a synchronization: the members of every bucket that differs.
+    pub fn sync_answer(&self, digests: &BucketDigests) -> SyncAnswer {
+        let differs = |member: &&Member| {
+            let bucket = BucketDigests::bucket(&member.update.host);
+            self.digests.differs(digests, bucket)
+        };
+        let updates = self.members.values().filter(differs).map(|m| m.update.clone()).collect();
+        SyncAnswer { updates }
+    }
+
+    /// Takes in the answer to a synchronization.
+    pub fn on_sync(&mut self, now: Timestamp, answer: &SyncAnswer) {
+        self.mismatches = 0;
+        for update in &answer.updates {
+            self.merge(now, update);
+        }
+    }
+
+    fn own(&self) -> &Member {
+        // Invariant: `new` stores the own entry and nothing removes it.
+        &self.members[&self.host]
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.update.host != self.host)
+    }
+
+    fn start_period(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<MemberAction>) {
+        self.forget_old(now);
+        if let Some(host) = self.next_target(rng) {
+            actions.extend(self.probe(now, &host));
+        }
+        if self.periods.is_multiple_of(DEAD_PROBE_PERIODS)
+            && let Some(host) = self.random_dead(rng)
+        {
+            actions.extend(self.probe(now, &host));
+        }
+        self.contact_seeds(now, rng, actions);
+        self.repair(now, rng, actions);
+    }
+
+    fn probe(&mut self, now: Timestamp, host: &HostName) -> Option<MemberAction> {
+        let to = self.members.get(host)?.update.facts.control;
+        let probe = ProbeId(self.next_probe);
+        self.next_probe += 1;
+        let state = Probe { host: host.clone(), addr: to, started: now, indirect: false };
+        self.probes.insert(probe, state);
+        Some(MemberAction::Probe { probe, to })
+    }
+
+    /// Returns the next live member of a shuffled round, so that each is probed once a round.
+    fn next_target(&mut self, rng: &mut Rng) -> Option<HostName> {
+        for _ in 0..2 {
+            while let Some(host) = self.round.pop() {
+                if self.members.get(&host).is_some_and(Member::is_live) {
+                    return Some(host);
+                }
+            }
+            self.round =
+                self.others().filter(|m| m.is_live()).map(|m| m.update.host.clone()).collect();
+            self.round.sort_unstable();
+            let count = self.round.len();
+            rng.sample(&mut self.round, count);
+        }
+        None
+    }
+
+    fn random_dead(&self, rng: &mut Rng) -> Option<HostName> {
+        let mut dead: Vec<&HostName> = self
+            .others()
+            .filter(|m| m.update.state == MemberState::Dead)
+            .map(|m| &m.update.host)
+            .collect();
+        dead.sort_unstable();
+        rng.sample(&mut dead, 1).first().map(|host| (*host).clone())
+    }
+
+    /// Synchronizes with a seed while alone, and now and then with one that is not a live
+    /// member, so that two halves that never met find each other.
+    fn contact_seeds(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<MemberAction>) {
+        let alone = self.live_count() <= 1;
+        if !alone && !self.periods.is_multiple_of(SEED_PERIODS) {
+            return;
+        }
+        let live: Vec<SocketAddr> =
+            self.others().filter(|m| m.is_live()).map(|m| m.update.facts.control).collect();
+        let mut unknown: Vec<SocketAddr> =
+            self.seeds.iter().copied().filter(|seed| !live.contains(seed)).collect();
+        if let Some(seed) = rng.sample(&mut unknown, 1).first() {
+            self.last_sync = Some(now);
+            actions.push(MemberAction::Sync { with: *seed });
+        }
+    }
+
+    fn repair(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<MemberAction>) {
+        let recent = self.last_sync.is_some_and(|at| now.since(at) < self.cfg.sync_interval);
+        if self.mismatches < MISMATCHES_TO_SYNC || recent {
+            return;
+        }
+        let mut live: Vec<SocketAddr> =
+            self.others().filter(|m| m.is_live()).map(|m| m.update.facts.control).collect();
+        live.sort_unstable();
+        if let Some(with) = rng.sample(&mut live, 1).first() {
+            self.last_sync = Some(now);
+            self.mismatches = 0;
+            actions.push(MemberAction::Sync { with: *with });
+        }
+    }
+
+    fn time_out_probes(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<MemberAction>) {
+        let mut direct: Vec<ProbeId> = Vec::new();
+        let mut failed: Vec<ProbeId> = Vec::new();
+        for (id, probe) in &self.probes {
+            let age = now.since(probe.started);
+            if age >= self.cfg.indirect_timeout {
+                failed.push(*id);
+            } else if age >= self.cfg.probe_timeout && !probe.indirect {
+                direct.push(*id);
+            }
+        }
+        direct.sort_unstable();
+        failed.sort_unstable();
+        for id in direct {
+            actions.extend(self.on_probe_failed(id, rng));
+        }
+        for id in failed {
+            if let Some(probe) = self.probes.remove(&id) {
+                self.suspect(now, &probe.host);
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Timestamp, host: &HostName) {
+        let Some(member) = self.members.get(host) else {
+            return;
+        };
+        if member.update.state != MemberState::Alive {
+            return;
+        }
+        let update = MemberUpdate { state: MemberState::Suspect, ..member.update.clone() };
+        self.accept(now, update);
+    }
+
+    fn time_out_suspects(&mut self, now: Timestamp) {
+        let mut dead: Vec<MemberUpdate> = self
+            .others()
+            .filter(|m| m.update.state == MemberState::Suspect)
+            .filter(|m| now.since(m.changed) >= self.cfg.suspicion)
+            .map(|m| MemberUpdate { state: MemberState::Dead, ..m.update.clone() })
+            .collect();
+        dead.sort_by(|a, b| a.host.cmp(&b.host));
+        for update in dead {
+            self.accept(now, update);
+        }
+    }
+
+    /// After a pause nothing that timed out meanwhile is held against the others.
+    fn resume(&mut self, gap: Duration) {
+        self.probes.clear();
+        for member in self.members.values_mut() {
+            member.changed = member.changed + gap;
+        }
+        self.last_sync = None;
+        self.mismatches = MISMATCHES_TO_SYNC;
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        let mut old: Vec<HostName> = self
+            .others()
+            .filter(|m| !m.is_live() && now.since(m.changed) >= self.cfg.retention)
+            .map(|m| m.update.host.clone())
+            .collect();
+        old.sort_unstable();
+        for host in old {
+            if let Some(member) = self.members.remove(&host) {
+                self.digests.toggle(&member.update);
+            }
+        }
+    }
+
+    fn merge(&mut self, now: Timestamp, update: &MemberUpdate) {
+        if update.host == self.host {
+            self.refute(now, update);
+            return;
+        }
+        match self.members.get(&update.host) {
+            Some(member) if update.supersedes(&member.update) => self.accept(now, update.clone()),
+            Some(member) if member.update.supersedes(update) => {
+                // The sender is behind: let the newer state travel again.
+                self.gossip.push(GossipItem::Member(member.update.clone()));
+            }
+            Some(_) => {}
+            None => self.accept(now, update.clone()),
+        }
+    }
+
+    /// Answers a claim about this node that is not true with a higher incarnation.
+    fn refute(&mut self, now: Timestamp, claim: &MemberUpdate) {
+        let own = self.own().update.clone();
+        let ahead = claim.incarnation > own.incarnation;
+        let contradicts = claim.incarnation == own.incarnation && claim.state != own.state;
+        if ahead || contradicts {
+            self.raise_incarnation(now, claim.incarnation, own.state, own.facts);
+        }
+    }
+
+    fn raise_incarnation(
+        &mut self,
+        now: Timestamp,
+        above: Incarnation,
+        state: MemberState,
+        facts: HostFacts,
+    ) {
+        let incarnation = Incarnation(above.0 + 1);
+        let update = MemberUpdate { host: self.host.clone(), incarnation, state, facts };
+        self.accept(now, update);
+    }
+
+    /// A message from a member that is held dead tells it so, and it will refute.
+    fn tell_if_held_dead(&mut self, from: &HostName) {
+        let Some(member) = self.members.get(from) else {
+            return;
+        };
+        match member.update.state {
+            MemberState::Alive | MemberState::Left => {}
+            MemberState::Suspect | MemberState::Dead => {
+                let update = member.update.clone();
+                self.gossip.push(GossipItem::Member(update));
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Timestamp, update: MemberUpdate) {
+        self.gossip.push(GossipItem::Member(update.clone()));
+        self.store(now, update);
+    }
+
+    fn store(&mut self, now: Timestamp, update: MemberUpdate) {
+        let host = update.host.clone();
+        self.digests.toggle(&update);
+        let old = self.members.insert(host, Member { update, changed: now });
+        if let Some(old) = old {
+            self.digests.toggle(&old.update);
+        }
+        self.changes += 1;
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,246 @@
+//! Quarantine of requests that crash upstreams.
+//!
+//! When an upstream dies, the requests in flight become suspects by their fingerprint. A
+//! suspect runs with no other suspect beside it; the crash of an upstream that runs it again
+//! quarantines it. A suspect that finishes is cleared.
+
+use std::time::Duration;
+
+use crate::collections::{FastMap, FastSet};
+use crate::ids::{Fingerprint, TryId};
+use crate::time::Timestamp;
+
+/// Crashes after which a fingerprint is quarantined.
+const CRASHES_TO_QUARANTINE: u8 = 2;
+/// Most fingerprints that are suspected or quarantined.
+const MAX_ENTRIES: usize = 1_024;
+
+data_type! {
+    /// State of one fingerprint, as it spreads between nodes.
+    pub struct QuarantineEntry {
+        /// Digest of the request.
+        pub fingerprint: Fingerprint,
+        /// Upstreams that died while they ran it; 0 after an operator lifted it.
+        pub crashes: u8,
+        /// Order of changes: the entry with the higher version wins.
+        pub version: u32,
+        /// Time until it expires, in milliseconds, when the message was sent.
+        pub expires_in_ms: u64,
+    }
+}
+
+impl QuarantineEntry {
+    /// Tells whether requests with this fingerprint are refused.
+    pub fn is_quarantined(&self) -> bool {
+        self.crashes >= CRASHES_TO_QUARANTINE
+    }
+}
+
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not suspected.
+    Clear,
+    /// Suspected; it runs with no other suspect beside it.
+    Alone,
+    /// Suspected, and another suspect is running: refused, not run.
+    Busy,
+    /// Quarantined: refused, not run.
+    Quarantined,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    crashes: u8,
+    version: u32,
+    expires: Timestamp,
+}
+
+/// Suspected and quarantined fingerprints, and the tries running at one upstream.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    entries: FastMap<Fingerprint, Entry>,
+    running: FastMap<TryId, Fingerprint>,
+    suspects_running: FastSet<TryId>,
+    retention: Duration,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine whose entries expire after `retention`.
+    pub fn new(retention: Duration) -> Quarantine {
+        Quarantine {
+            entries: FastMap::default(),
+            running: FastMap::default(),
+            suspects_running: FastSet::default(),
+            retention,
+        }
+    }
+
+    /// Tells whether a request may run now.
+    ///
+    /// ```
+    /// use snipehollow_core::ids::{Fingerprint, TryId};
+    /// use snipehollow_core::quarantine::{Quarantine, Verdict};
+    /// use snipehollow_core::time::Timestamp;
+    /// use std::time::Duration;
+    ///
+    /// let now = Timestamp::ZERO;
+    /// let mut quarantine = Quarantine::new(Duration::from_secs(600));
+    /// let poison = Fingerprint(1);
+    /// for _ in 0..2 {
+    ///     quarantine.start(TryId(1), poison);
+    ///     quarantine.upstream_died(now);
+    /// }
+    /// assert_eq!(quarantine.check(now, poison), Verdict::Quarantined);
+    /// ```
+    pub fn check(&self, now: Timestamp, fingerprint: Fingerprint) -> Verdict {
+        let Some(entry) = self.entries.get(&fingerprint).filter(|e| e.expires > now) else {
+            return Verdict::Clear;
+        };
+        if entry.crashes >= CRASHES_TO_QUARANTINE {
+            return Verdict::Quarantined;
+        }
+        match (entry.crashes, self.suspects_running.is_empty()) {
+            (0, _) => Verdict::Clear,
+            (_, true) => Verdict::Alone,
+            (_, false) => Verdict::Busy,
+        }
+    }
+
+    /// Records that a try was dispatched.
+    pub fn start(&mut self, id: TryId, fingerprint: Fingerprint) {
+        self.running.insert(id, fingerprint);
+        if self.entries.get(&fingerprint).is_some_and(|entry| entry.crashes > 0) {
+            self.suspects_running.insert(id);
+        }
+    }
+
+    /// Records that a try ended while its upstream lived, and returns the cleared entry if
+    /// it was a suspect that completed.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        id: TryId,
+        completed: bool,
+    ) -> Option<QuarantineEntry> {
+        let fingerprint = self.running.remove(&id)?;
+        self.suspects_running.remove(&id);
+        if !completed {
+            return None;
+        }
+        let entry = self.entries.get_mut(&fingerprint)?;
+        if entry.crashes == 0 || entry.crashes >= CRASHES_TO_QUARANTINE {
+            return None;
+        }
+        entry.crashes = 0;
+        entry.version += 1;
+        Some(entry.to_message(fingerprint, now))
+    }
+
+    /// Records the death of the upstream and returns the entries that changed.
+    ///
+    /// If suspects were running, only they are blamed: the others are bystanders.
+    pub fn upstream_died(&mut self, now: Timestamp) -> Vec<QuarantineEntry> {
+        let running = std::mem::take(&mut self.running);
+        let suspects = std::mem::take(&mut self.suspects_running);
+        let blamed: FastSet<Fingerprint> = running
+            .iter()
+            .filter(|(id, _)| suspects.is_empty() || suspects.contains(id))
+            .map(|(_, fingerprint)| *fingerprint)
+            .collect();
+        blamed.into_iter().filter_map(|fingerprint| self.blame(now, fingerprint)).collect()
+    }
+
+    /// Takes in an entry from another node; returns true if it changed anything.
+    pub fn merge(&mut self, now: Timestamp, message: &QuarantineEntry) -> bool {
+        let expires_in = Duration::from_millis(message.expires_in_ms).min(self.retention);
+        let incoming =
+            Entry { crashes: message.crashes, version: message.version, expires: now + expires_in };
+        if expires_in.is_zero() {
+            return false;
+        }
+        match self.entries.get_mut(&message.fingerprint) {
+            Some(entry)
+                if (incoming.version, incoming.crashes) <= (entry.version, entry.crashes) =>
+            {
+                false
+            }
+            Some(entry) => {
+                *entry = incoming;
+                true
+            }
+            None => self.insert(now, message.fingerprint, incoming),
+        }
+    }
+
+    /// Lifts a fingerprint by an operator's order and returns the entry to spread.
+    pub fn lift(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        entry.crashes = 0;
+        entry.version += 1;
+        entry.expires = now + self.retention;
+        Some(entry.to_message(fingerprint, now))
+    }
+
+    /// Drops expired entries.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.entries.retain(|_, entry| entry.expires > now);
+    }
+
+    /// Returns every entry that is suspected or quarantined, by fingerprint.
+    pub fn list(&self, now: Timestamp) -> Vec<QuarantineEntry> {
+        let mut list: Vec<QuarantineEntry> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.crashes > 0 && entry.expires > now)
+            .map(|(fingerprint, entry)| entry.to_message(*fingerprint, now))
+            .collect();
+        list.sort_by_key(|entry| entry.fingerprint);
+        list
+    }
+
+    fn blame(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
+        let expires = now + self.retention;
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.crashes = entry.crashes.saturating_add(1).min(CRASHES_TO_QUARANTINE);
+            entry.version += 1;
+            entry.expires = expires;
+            return Some(entry.to_message(fingerprint, now));
+        }
+        let entry = Entry { crashes: 1, version: 1, expires };
+        let message = entry.to_message(fingerprint, now);
+        self.insert(now, fingerprint, entry).then_some(message)
+    }
+
+    fn insert(&mut self, now: Timestamp, fingerprint: Fingerprint, entry: Entry) -> bool {
+        if self.entries.len() >= MAX_ENTRIES {
+            self.expire(now);
+        }
+        if self.entries.len() >= MAX_ENTRIES {
+            // Cleared and merely suspected entries give way; a quarantined one is kept.
+            let victim = self
+                .entries
+                .iter()
+                .filter(|(_, e)| e.crashes < CRASHES_TO_QUARANTINE)
+                .min_by_key(|(fingerprint, e)| (e.crashes, e.expires, **fingerprint))
+                .map(|(fingerprint, _)| *fingerprint);
+            let Some(victim) = victim else {
+                return false;
+            };
+            self.entries.remove(&victim);
+        }
+        self.entries.insert(fingerprint, entry);
+        true
+    }
+}
+
+impl Entry {
+    fn to_message(&self, fingerprint: Fingerprint, now: Timestamp) -> QuarantineEntry {
+        QuarantineEntry {
+            fingerprint,
+            crashes: self.crashes,
+            version: self.version,
+            expires_in_ms: self.expires.since(now).as_millis() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/stats.rs
@@ -0,0 +1,115 @@
+//! What this node observed of one host.
+
+use std::time::Duration;
+
+use crate::admission::LoadLevel;
+use crate::ewma::Ewma;
+use crate::time::Timestamp;
+
+/// How a try at a host ended, as far as the host's health is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryResult {
+    /// A complete answer.
+    Answered,
+    /// A refusal by admission: the host works as it should.
+    Refused,
+    /// Unreachable, cut, timed out, or its upstream failed.
+    Failed,
+}
+
+/// Age at which a reported load level no longer counts.
+const LEVEL_FRESH: Duration = Duration::from_millis(1_000);
+/// Failures in a row that set a host aside.
+const FAILURES_TO_SET_ASIDE: u32 = 5;
+const SET_ASIDE_BASE: Duration = Duration::from_secs(2);
+const SET_ASIDE_MAX: Duration = Duration::from_secs(30);
+/// Weight of one try in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Factor by which a share of failures of 1 raises the load score.
+const FAILURE_PENALTY: f64 = 16.0;
+/// Share of the announced slots assumed as limit before the first report.
+const ASSUMED_LIMIT_SHARE: f64 = 0.25;
+
+/// What this node observed of one host.
+#[derive(Clone, Debug, Default)]
+pub struct HostStats {
+    level: Option<LoadLevel>,
+    level_at: Timestamp,
+    sent_since_level: u32,
+    in_flight: u32,
+    failure_share: Ewma,
+    failures_in_a_row: u32,
+    times_set_aside: u32,
+    set_aside_until: Timestamp,
+}
+
+impl HostStats {
+    /// Records that a try was sent.
+    pub fn start(&mut self) {
+        self.in_flight += 1;
+        self.sent_since_level += 1;
+    }
+
+    /// Records the end of a try; returns true if the host should be set aside.
+    pub fn finish(&mut self, result: TryResult) -> bool {
+        invariant!(self.in_flight > 0, "a try ended at a host with none in flight");
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let failed = result == TryResult::Failed;
+        self.failure_share.add(f64::from(u8::from(failed)), FAILURE_WEIGHT);
+        if !failed {
+            self.failures_in_a_row = 0;
+            self.times_set_aside = 0;
+            return false;
+        }
+        self.failures_in_a_row += 1;
+        self.failures_in_a_row >= FAILURES_TO_SET_ASIDE
+    }
+
+    /// Records a load level reported by the host.
+    pub fn report(&mut self, now: Timestamp, level: LoadLevel) {
+        self.level = Some(level);
+        self.level_at = now;
+        self.sent_since_level = 0;
+    }
+
+    /// Sets the host aside; each time in a row doubles the duration.
+    pub fn set_aside(&mut self, now: Timestamp) {
+        let factor = 1 << self.times_set_aside.min(8);
+        let duration = (SET_ASIDE_BASE * factor).min(SET_ASIDE_MAX);
+        self.set_aside_until = now + duration;
+        self.times_set_aside += 1;
+        self.failures_in_a_row = 0;
+    }
+
+    /// Tells whether the host is set aside.
+    pub fn is_set_aside(&self, now: Timestamp) -> bool {
+        self.set_aside_until > now
+    }
+
+    /// Tells whether a fresh report says that the host would refuse this rank.
+    pub fn refuses(&self, now: Timestamp, rank: u8) -> bool {
+        now.since(self.level_at) < LEVEL_FRESH
+            && self.level.as_ref().is_some_and(|level| !level.admits(rank))
+    }
+
+    /// Returns the tries in flight from this node.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the load to compare hosts by; lower is better.
+    pub fn score(&self, now: Timestamp, slots: u32) -> f64 {
+        let (load, limit) = match &self.level {
+            Some(level) if now.since(self.level_at) < LEVEL_FRESH => {
+                let reported = level.in_flight + level.queued + self.sent_since_level;
+                (f64::from(reported.max(self.in_flight)), f64::from(level.limit.max(1)))
+            }
+            _ => {
+                let assumed = (f64::from(slots) * ASSUMED_LIMIT_SHARE).max(1.0);
+                (f64::from(self.in_flight), assumed)
+            }
+        };
+        let penalty = 1.0 + FAILURE_PENALTY * self.failure_share.get().unwrap_or(0.0);
+        (load + 1.0) / limit * penalty
+    }
+}
