Settings, sheet, configuration model and store client

Cause: nodes and operators need a checked configuration that is accepted once. Change: crates/config (INI settings, CSV sheet, sections and revisions) and crates/store (compare-and-swap commit that settles a lost answer by its change id, delta reads, seeds). Conclusion: ready for the daemon.

--- /dev/null
+++ b/crates/config/src/settings/mod.rs
@@ -0,0 +1,10 @@
+//! Settings of a daemon, read from an INI file.
+
+mod bounds;
+mod error;
+mod node;
+mod reader;
+
+pub use bounds::Bounds;
+pub use error::{SettingsError, SettingsProblem};
+pub use node::{AdmissionMode, NodeSettings, ZoneSeeds};
--- /dev/null
+++ b/crates/config/src/settings/node.rs
@@ -0,0 +1,272 @@
+//! Settings of one node.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use snipehollow_core::ids::{HostName, RegionName, ZoneName};
+
+use super::bounds::Bounds;
+use super::error::{SettingsError, SettingsProblem};
+use super::reader::{Reader, SectionSpec};
+
+/// Shortest accepted secret, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+const DEFAULT_DRAIN_SECONDS: u64 = 30;
+
+const SECTIONS: &[SectionSpec] = &[
+    SectionSpec { name: "host", keys: &["name", "zone", "region"] },
+    SectionSpec { name: "listen", keys: &["caller", "peer", "control", "upstream", "admin"] },
+    SectionSpec { name: "peers", keys: &["secret", "seeds", "blocked"] },
+    SectionSpec { name: "store", keys: &["url", "timeout_ms"] },
+    SectionSpec {
+        name: "bounds",
+        keys: &[
+            "head_bytes",
+            "headers",
+            "body_bytes",
+            "answer_bytes",
+            "connections",
+            "head_timeout_ms",
+            "body_timeout_ms",
+        ],
+    },
+    SectionSpec { name: "log", keys: &["level"] },
+    SectionSpec {
+        name: "run",
+        keys: &["traffic_threads", "drain_seconds", "assert", "admission", "link_bytes_per_second"],
+    },
+];
+
+/// How the gate admits requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// Ranked queue and adaptive limit.
+    Full,
+    /// Ranked queue, limit fixed at the announced slots.
+    FixedLimit,
+    /// Everything is passed through; for measurements of what the layer adds.
+    PassThrough,
+}
+
+/// Members of one other availability zone that may be asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneSeeds {
+    /// Name of the zone.
+    pub zone: ZoneName,
+    /// Name of its region.
+    pub region: RegionName,
+    /// Control addresses.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Settings of one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Name of the host.
+    pub host: HostName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Region.
+    pub region: RegionName,
+    /// Address for callers and the local upstream's own calls.
+    pub caller: SocketAddr,
+    /// Address for calls between nodes.
+    pub peer: SocketAddr,
+    /// Address for control messages between nodes.
+    pub control: SocketAddr,
+    /// Address at which the local upstream announces itself.
+    pub upstream: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Secret shared by the nodes.
+    pub secret: String,
+    /// Control addresses of members of the own zone.
+    pub seeds: Vec<SocketAddr>,
+    /// Members of other zones.
+    pub zones: Vec<ZoneSeeds>,
+    /// Zones to and from which nothing passes, for trials of a partition.
+    pub blocked: Vec<ZoneName>,
+    /// Address of the store, `http://ip:port`; a node without one serves what peers tell it.
+    pub store_url: Option<String>,
+    /// Time in which the store must answer.
+    pub store_timeout: Duration,
+    /// Bounds on what a caller may send.
+    pub bounds: Bounds,
+    /// Least level of logged records.
+    pub log_level: String,
+    /// Threads that serve traffic.
+    pub traffic_threads: usize,
+    /// Longest time that a stop waits for requests in progress.
+    pub drain: Duration,
+    /// Whether invariants are asserted in a release build.
+    pub assert: bool,
+    /// How the gate admits requests.
+    pub admission: AdmissionMode,
+    /// Bytes per second that the nodes of this region may send over the link to another one,
+    /// where the configuration names none.
+    pub link_bytes_per_second: u64,
+}
+
+impl NodeSettings {
+    /// Reads a settings file.
+    ///
+    /// Errors: every unknown, missing and invalid key of the file.
+    pub fn load(path: &Path) -> Result<NodeSettings, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|err| SettingsError {
+            problems: vec![SettingsProblem::Unreadable {
+                file: file.clone(),
+                cause: err.to_string(),
+            }],
+        })?;
+        NodeSettings::parse(&file, &text)
+    }
+
+    /// Reads settings from text; `file` is the name that errors give.
+    ///
+    /// ```
+    /// use snipehollow_config::settings::NodeSettings;
+    ///
+    /// let err = NodeSettings::parse("node.ini", "[host]\ncolour = red\n").unwrap_err();
+    /// assert!(err.to_string().contains("node.ini: [host] colour is not known"));
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<NodeSettings, SettingsError> {
+        let mut reader = Reader::new(file, text)?;
+        let zones = read_zones(&mut reader);
+        reader.check_names(SECTIONS, &["zones"]);
+        let settings = read_node(&mut reader, zones);
+        reader.finish(settings)
+    }
+}
+
+fn read_node(reader: &mut Reader<'_>, zones: Vec<ZoneSeeds>) -> Option<NodeSettings> {
+    let name_rule = "1 to 128 letters, digits, '-', '_', '.' or ':'";
+    let addr_rule = "an IP address and port, as 127.0.0.1:7000";
+    let host = reader.required("host", "name", name_rule, HostName::new);
+    let zone = reader.required("host", "zone", name_rule, ZoneName::new);
+    let region = reader.required("host", "region", name_rule, RegionName::new);
+    let mut addr = |key: &str| reader.required("listen", key, addr_rule, str::parse::<SocketAddr>);
+    let caller = addr("caller");
+    let peer = addr("peer");
+    let control = addr("control");
+    let upstream = addr("upstream");
+    let admin = addr("admin");
+    let secret = reader.required("peers", "secret", "at least 16 visible characters", parse_secret);
+    let seeds = reader.optional("peers", "seeds", "addresses separated by spaces", parse_addrs);
+    let blocked = reader.optional("peers", "blocked", "zones separated by spaces", parse_zones);
+    let store_url =
+        reader.optional("store", "url", "http:// and an IP address and port", parse_url);
+    let store_timeout = reader.number("store", "timeout_ms", 10..=60_000, 2_000);
+    let bounds = read_bounds(reader);
+    let log_level =
+        reader.optional("log", "level", "error, warn, info, debug or trace", parse_level);
+    let traffic_threads = reader.number("run", "traffic_threads", 1..=64, 2);
+    let drain = reader.number("run", "drain_seconds", 0..=3_600, DEFAULT_DRAIN_SECONDS);
+    let assert = reader.flag("run", "assert", false);
+    let admission =
+        reader.optional("run", "admission", "full, fixed-limit or pass-through", parse_admission);
+    let link = reader.number("run", "link_bytes_per_second", 0..=10_000_000_000, 3_750_000);
+    Some(NodeSettings {
+        host: host?,
+        zone: zone?,
+        region: region?,
+        caller: caller?,
+        peer: peer?,
+        control: control?,
+        upstream: upstream?,
+        admin: admin?,
+        secret: secret?,
+        seeds: seeds.unwrap_or_default(),
+        zones,
+        blocked: blocked.unwrap_or_default(),
+        store_url,
+        store_timeout: Duration::from_millis(store_timeout),
+        bounds,
+        log_level: log_level.unwrap_or_else(|| "info".into()),
+        traffic_threads: traffic_threads as usize,
+        drain: Duration::from_secs(drain),
+        assert,
+        admission: admission.unwrap_or(AdmissionMode::Full),
+        link_bytes_per_second: link,
+    })
+}
+
+fn read_bounds(reader: &mut Reader<'_>) -> Bounds {
+    let default = Bounds::new();
+    let mut size = |key: &str, range, default: usize| {
+        reader.number("bounds", key, range, default as u64) as usize
+    };
+    let max_head_bytes = size("head_bytes", 8_192..=1_048_576, default.max_head_bytes);
+    let max_headers = size("headers", 8..=1_024, default.max_headers);
+    let max_body_bytes = size("body_bytes", 0..=1_073_741_824, default.max_body_bytes);
+    let max_answer_bytes = size("answer_bytes", 1_024..=1_073_741_824, default.max_answer_bytes);
+    let max_connections = size("connections", 1..=65_536, default.max_connections);
+    let head_timeout = size("head_timeout_ms", 10..=600_000, 5_000);
+    let body_timeout = size("body_timeout_ms", 10..=600_000, 10_000);
+    Bounds {
+        max_head_bytes,
+        max_headers,
+        max_body_bytes,
+        max_answer_bytes,
+        max_connections,
+        head_timeout: Duration::from_millis(head_timeout as u64),
+        body_timeout: Duration::from_millis(body_timeout as u64),
+    }
+}
+
+/// Reads the section `[zones]`: `NAME = REGION ADDRESS...`.
+fn read_zones(reader: &mut Reader<'_>) -> Vec<ZoneSeeds> {
+    let expected = "a region and control addresses, separated by spaces";
+    let mut zones = Vec::new();
+    for (key, value) in reader.section("zones") {
+        match parse_zone(&key, &value) {
+            Some(zone) => zones.push(zone),
+            None => reader.bad_value("zones", &key, &value, expected),
+        }
+    }
+    zones
+}
+
+fn parse_zone(name: &str, value: &str) -> Option<ZoneSeeds> {
+    let zone = ZoneName::new(name).ok()?;
+    let (region, addrs) = value.trim().split_once(' ')?;
+    let region = RegionName::new(region).ok()?;
+    let seeds = parse_addrs(addrs).ok()?;
+    Some(ZoneSeeds { zone, region, seeds })
+}
+
+fn parse_addrs(text: &str) -> Result<Vec<SocketAddr>, std::net::AddrParseError> {
+    text.split_whitespace().map(str::parse).collect()
+}
+
+fn parse_zones(text: &str) -> Result<Vec<ZoneName>, snipehollow_core::ids::NameError> {
+    text.split_whitespace().map(ZoneName::new).collect()
+}
+
+fn parse_secret(text: &str) -> Result<String, &'static str> {
+    let visible = text.bytes().all(|b| b.is_ascii_graphic());
+    if visible && text.len() >= MIN_SECRET_BYTES { Ok(text.into()) } else { Err("too short") }
+}
+
+fn parse_url(text: &str) -> Result<String, &'static str> {
+    let addr = text.strip_prefix("http://").ok_or("no scheme")?;
+    addr.parse::<SocketAddr>().map_err(|_| "no address")?;
+    Ok(text.into())
+}
+
+fn parse_level(text: &str) -> Result<String, &'static str> {
+    match text {
+        "error" | "warn" | "info" | "debug" | "trace" => Ok(text.into()),
+        _ => Err("no level"),
+    }
+}
+
+fn parse_admission(text: &str) -> Result<AdmissionMode, &'static str> {
+    match text {
+        "full" => Ok(AdmissionMode::Full),
+        "fixed-limit" => Ok(AdmissionMode::FixedLimit),
+        "pass-through" => Ok(AdmissionMode::PassThrough),
+        _ => Err("no mode"),
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,144 @@
+//! Calls to the key-value service.
+
+use std::time::Duration;
+
+use snipehollow_core::key_type;
+
+use crate::StoreError;
+
+/// Most bytes of a value.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+const VERSION_HEADER: &str = "x-version";
+const CONFLICT: u16 = 409;
+const NOT_FOUND: u16 = 404;
+const NO_CONTENT: u16 = 204;
+/// Time added to a watch's own wait before the call counts as lost.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+key_type! {
+    /// Version of a value; it rises with every write of its key.
+    #[derive(Default)]
+    pub struct Version(pub u64);
+}
+
+impl Version {
+    /// Version of a key that does not exist.
+    pub const ABSENT: Version = Version(0);
+}
+
+/// A value and its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned {
+    /// The value.
+    pub value: String,
+    /// Its version.
+    pub version: Version,
+}
+
+/// The key-value service, as this project uses it.
+pub trait KvStore {
+    /// Reads a value; `None` if the key does not exist.
+    fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError>;
+
+    /// Writes a value if the key still has the expected version.
+    ///
+    /// Returns the new version, or `None` if the key has another version. After an error the
+    /// write may have taken effect.
+    fn put(&self, key: &str, value: &str, expected: Version)
+    -> Result<Option<Version>, StoreError>;
+
+    /// Waits until the key's version is not `known`; `None` if that takes longer than `wait`.
+    fn watch(
+        &self,
+        key: &str,
+        known: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError>;
+}
+
+/// Client that speaks HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    agent: ureq::Agent,
+    url: String,
+    timeout: Duration,
+}
+
+impl HttpStore {
+    /// Creates a client for the service at `url`, as `http://127.0.0.1:7900`.
+    pub fn new(url: &str, timeout: Duration) -> HttpStore {
+        let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+        let url = url.trim_end_matches('/').to_owned();
+        HttpStore { agent: config.new_agent(), url, timeout }
+    }
+
+    fn read(&self, url: &str, timeout: Duration) -> Result<(u16, Option<Versioned>), StoreError> {
+        let request = self.agent.get(url).config().timeout_global(Some(timeout)).build();
+        let mut response = request.call().map_err(unavailable)?;
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Ok((status, None));
+        }
+        let version = version_of(&response)?;
+        let body = response.body_mut().with_config().limit(MAX_VALUE_BYTES as u64 + 1);
+        let value = body.read_to_string().map_err(unavailable)?;
+        Ok((status, Some(Versioned { value, version })))
+    }
+}
+
+impl KvStore for HttpStore {
+    fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let url = format!("{}/v1/kv/{key}", self.url);
+        match self.read(&url, self.timeout)? {
+            (200, value) => Ok(value),
+            (NOT_FOUND, _) => Ok(None),
+            (status, _) => Err(StoreError::Status(status)),
+        }
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        value: &str,
+        expected: Version,
+    ) -> Result<Option<Version>, StoreError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::TooLarge { key: key.into(), bytes: value.len() });
+        }
+        let url = format!("{}/v1/kv/{key}?version={}", self.url, expected.0);
+        let request = self.agent.put(&url).config().timeout_global(Some(self.timeout)).build();
+        let response = request.send(value).map_err(unavailable)?;
+        match response.status().as_u16() {
+            200 => version_of(&response).map(Some),
+            CONFLICT => Ok(None),
+            status => Err(StoreError::Status(status)),
+        }
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        known: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        let url =
+            format!("{}/v1/watch/{key}?known={}&wait_ms={}", self.url, known.0, wait.as_millis());
+        match self.read(&url, wait + WATCH_SLACK)? {
+            (200, value) => Ok(value),
+            (NO_CONTENT, _) => Ok(None),
+            (status, _) => Err(StoreError::Status(status)),
+        }
+    }
+}
+
+fn unavailable(err: ureq::Error) -> StoreError {
+    StoreError::Unavailable(err.to_string())
+}
+
+fn version_of<B>(response: &ureq::http::Response<B>) -> Result<Version, StoreError> {
+    let header = response.headers().get(VERSION_HEADER);
+    let version = header.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
+    version
+        .map(Version)
+        .ok_or_else(|| StoreError::Unavailable(format!("answer has no valid {VERSION_HEADER}")))
+}
--- /dev/null
+++ b/crates/store/src/commit.rs
@@ -0,0 +1,238 @@
+//! Commit of a configuration by compare-and-swap.
+
+use displaydoc::Display;
+use snipehollow_config::model::{
+    Change, ConfigState, Head, Index, RECENT_CHANGES, Section, SectionDigest, SectionName,
+    SectionRef,
+};
+use snipehollow_core::collections::FastMap;
+
+use crate::client::{KvStore, Version};
+use crate::load::{LoadError, all_sections, load_delta, load_head, to_json};
+use crate::{HEAD_KEY, StoreError};
+
+/// Commits between two indexes.
+const INDEX_EVERY: u64 = RECENT_CHANGES as u64 / 2;
+/// Attempts to settle a swap whose answer was lost.
+const SETTLE_ATTEMPTS: usize = 5;
+
+/// A configuration to commit.
+#[derive(Clone, Debug)]
+pub struct Commit<'a> {
+    /// All sections that should exist afterwards.
+    pub sections: &'a [Section],
+    /// Operator who commits.
+    pub author: &'a str,
+    /// Id unique to this commit, to recognize it when an answer is lost.
+    pub change_id: &'a str,
+    /// Unix time in seconds.
+    pub at: u64,
+    /// Revision that the operator saw; a commit on top of another one is a conflict.
+    pub base: Option<u64>,
+    /// Highest revision known to be in force in the fleet, for a store that lost data.
+    pub fleet_revision: u64,
+}
+
+/// Why a configuration was not committed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum CommitError {
+    /// {0}
+    Load(LoadError),
+    /// conflict: revision {winner} by {author} was committed first
+    Conflict {
+        /// Revision that was committed first.
+        winner: u64,
+        /// Who committed it.
+        author: String,
+    },
+    /// the store is at revision {store}, but revision {fleet} is in force; a node will repair it
+    StoreBehind {
+        /// Revision of the store.
+        store: u64,
+        /// Revision in force.
+        fleet: u64,
+    },
+    /// not known whether revision {revision} was committed: {cause}
+    Unsettled {
+        /// The revision.
+        revision: u64,
+        /// Why it could not be settled.
+        cause: StoreError,
+    },
+}
+
+impl std::error::Error for CommitError {}
+
+impl From<StoreError> for CommitError {
+    fn from(err: StoreError) -> CommitError {
+        CommitError::Load(LoadError::Store(err))
+    }
+}
+
+impl From<LoadError> for CommitError {
+    fn from(err: LoadError) -> CommitError {
+        CommitError::Load(err)
+    }
+}
+
+/// Commits a configuration whole and returns the head, or `None` if nothing differs.
+///
+/// Errors: a conflict names the winner; nothing is committed while the store is behind the
+/// fleet; a lost answer is settled by reading the change id back.
+pub fn commit_sections(
+    store: &impl KvStore,
+    commit: &Commit<'_>,
+) -> Result<Option<Head>, CommitError> {
+    let (head, version) = load_head(store)?;
+    check_base(commit, head.as_ref())?;
+    let existing = match &head {
+        Some(head) => all_sections(store, head)?,
+        None => Vec::new(),
+    };
+    let changed = changed_sections(commit.sections, &existing);
+    if changed.is_empty() {
+        return Ok(None);
+    }
+    write_sections(store, commit.sections, &changed)?;
+    let next = next_head(commit, head.as_ref(), changed);
+    if next.index == next.revision {
+        let index = Index { revision: next.revision, sections: all_refs(commit.sections) };
+        store.put(&index_key(next.revision), &to_json(&index), Version::ABSENT)?;
+    }
+    swap(store, commit, next, version).map(Some)
+}
+
+pub(crate) fn section_key(digest: SectionDigest) -> String {
+    format!("config/section/{digest}")
+}
+
+pub(crate) fn index_key(revision: u64) -> String {
+    format!("config/index/{revision}")
+}
+
+fn check_base(commit: &Commit<'_>, head: Option<&Head>) -> Result<(), CommitError> {
+    let revision = head.map_or(0, |head| head.revision);
+    if revision < commit.fleet_revision {
+        return Err(CommitError::StoreBehind { store: revision, fleet: commit.fleet_revision });
+    }
+    match commit.base {
+        Some(base) if base != revision => Err(conflict(head)),
+        _ => Ok(()),
+    }
+}
+
+fn conflict(head: Option<&Head>) -> CommitError {
+    CommitError::Conflict {
+        winner: head.map_or(0, |head| head.revision),
+        author: head.and_then(Head::last).map_or(String::new(), |change| change.author.clone()),
+    }
+}
+
+fn all_refs(sections: &[Section]) -> Vec<SectionRef> {
+    let digest = |section: &Section| SectionDigest::of(&section.to_stored());
+    let to_ref =
+        |section| SectionRef { name: Section::name(section), digest: Some(digest(section)) };
+    sections.iter().map(to_ref).collect()
+}
+
+fn changed_sections(sections: &[Section], existing: &[SectionRef]) -> Vec<SectionRef> {
+    let old: FastMap<&SectionName, Option<SectionDigest>> =
+        existing.iter().map(|section| (&section.name, section.digest)).collect();
+    let wanted = all_refs(sections);
+    let mut changed: Vec<SectionRef> = wanted
+        .iter()
+        .filter(|section| old.get(&section.name) != Some(&section.digest))
+        .cloned()
+        .collect();
+    let removed = existing
+        .iter()
+        .filter(|old| old.digest.is_some() && !wanted.iter().any(|new| new.name == old.name))
+        .map(|old| SectionRef { name: old.name.clone(), digest: None });
+    changed.extend(removed);
+    changed
+}
+
+fn write_sections(
+    store: &impl KvStore,
+    sections: &[Section],
+    changed: &[SectionRef],
+) -> Result<(), StoreError> {
+    for section in sections {
+        let stored = section.to_stored();
+        let digest = SectionDigest::of(&stored);
+        if changed.iter().any(|change| change.digest == Some(digest)) {
+            // A conflict means that the same value exists already.
+            store.put(&section_key(digest), &stored, Version::ABSENT)?;
+        }
+    }
+    Ok(())
+}
+
+fn next_head(commit: &Commit<'_>, head: Option<&Head>, changed: Vec<SectionRef>) -> Head {
+    let revision = head.map_or(0, |head| head.revision) + 1;
+    let mut recent = head.map_or_else(Vec::new, |head| head.recent.clone());
+    recent.push(Change {
+        revision,
+        change_id: commit.change_id.into(),
+        author: commit.author.into(),
+        at: commit.at,
+        sections: changed,
+    });
+    let excess = recent.len().saturating_sub(RECENT_CHANGES);
+    recent.drain(..excess);
+    let last_index = head.map_or(0, |head| head.index);
+    let due = head.is_none() || revision - last_index >= INDEX_EVERY;
+    Head { revision, recent, index: if due { revision } else { last_index } }
+}
+
+/// Swaps the head, and settles by reading back if the answer is lost.
+fn swap(
+    store: &impl KvStore,
+    commit: &Commit<'_>,
+    next: Head,
+    version: Version,
+) -> Result<Head, CommitError> {
+    let value = to_json(&next);
+    let mut cause = match store.put(HEAD_KEY, &value, version) {
+        Ok(Some(_)) => return Ok(next),
+        Ok(None) => return settle_conflict(store, commit, next),
+        Err(err) => err,
+    };
+    for _ in 0..SETTLE_ATTEMPTS {
+        cause = match load_head(store) {
+            Ok((Some(head), _)) if head.contains(commit.change_id) => return Ok(next),
+            Ok((head, found)) if found != version => return Err(conflict(head.as_ref())),
+            Ok(_) => match store.put(HEAD_KEY, &value, version) {
+                Ok(Some(_)) => return Ok(next),
+                Ok(None) => return settle_conflict(store, commit, next),
+                Err(err) => err,
+            },
+            Err(err) => err,
+        };
+    }
+    Err(CommitError::Unsettled { revision: next.revision, cause })
+}
+
+/// A conflict may be with this very change, if an earlier answer was lost.
+fn settle_conflict(
+    store: &impl KvStore,
+    commit: &Commit<'_>,
+    next: Head,
+) -> Result<Head, CommitError> {
+    let (head, _) = load_head(store)?;
+    match head {
+        Some(head) if head.contains(commit.change_id) => Ok(next),
+        head => Err(conflict(head.as_ref())),
+    }
+}
+
+/// Reads the whole configuration of a store.
+pub fn load_all(store: &impl KvStore) -> Result<ConfigState, LoadError> {
+    let mut state = ConfigState::new();
+    let (head, _) = load_head(store)?;
+    if let Some(head) = head {
+        let delta = load_delta(store, &head, &state)?;
+        state.apply(&delta).map_err(|err| LoadError::Missing(err.to_string()))?;
+    }
+    Ok(state)
+}
