--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder head.
+//! Measurements of the whole path with real processes on loopback.
+//!
+//! Each program under `src/bin` prints one table; docs/MEASUREMENTS.md holds the tables with
+//! the command and seed that made them.
+
+pub mod arms;
+pub mod sheets;
--- /dev/null
+++ b/benches/src/sheets.rs
@@ -0,0 +1,51 @@
+//! Sheets for measurements.
+
+/// Header of the sheets.
+const HEADER: &str = "kind,name,rank,deadline_ms,worth,repeat,retries,rate_per_s,burst,service,\
+    method,path,class,refusals\n";
+
+/// Returns a sheet with one class for everything of the given services.
+pub fn single_class(services: &[&str], deadline_ms: u32, retries: u16) -> String {
+    let mut sheet = HEADER.to_owned();
+    sheet.push_str(&format!("class,any,0,{deadline_ms},1,may-repeat,{retries},,,,,,,\n"));
+    for service in services {
+        sheet.push_str(&format!("service,{service},,,,,,,,,,,,trusted\n"));
+        sheet.push_str(&format!("rule,,,,,,,,,{service},*,/,any,\n"));
+    }
+    sheet
+}
+
+/// Returns a sheet with ranked classes; a request's path begins with its class's name.
+pub fn ranked(services: &[&str], classes: &[RankedClass<'_>]) -> String {
+    let mut sheet = HEADER.to_owned();
+    for class in classes {
+        let RankedClass { name, rank, deadline_ms, retries } = class;
+        sheet.push_str(&format!(
+            "class,{name},{rank},{deadline_ms},1,may-repeat,{retries},,,,,,,\n"
+        ));
+    }
+    for service in services {
+        sheet.push_str(&format!("service,{service},,,,,,,,,,,,trusted\n"));
+        for class in classes {
+            let name = class.name;
+            sheet.push_str(&format!("rule,,,,,,,,,{service},*,/{name},{name},\n"));
+        }
+        if let Some(last) = classes.last() {
+            sheet.push_str(&format!("rule,,,,,,,,,{service},*,/,{},\n", last.name));
+        }
+    }
+    sheet
+}
+
+/// One class of a [`ranked`] sheet.
+#[derive(Clone, Copy, Debug)]
+pub struct RankedClass<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Rank.
+    pub rank: u8,
+    /// Deadline in milliseconds.
+    pub deadline_ms: u32,
+    /// Retries over the whole chain.
+    pub retries: u16,
+}
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -306,7 +306,10 @@
         let slow = f64::from(self.behaviour().slow_percent) / 100.0;
         let cold = if self.started_at.elapsed() < self.cfg.cold_time { 3.0 } else { 1.0 };
         let factor = self.crowd_factor() * slow * cold;
-        tokio::time::sleep(self.cfg.service_time.mul_f64(factor)).await;
+        let time = self.cfg.service_time.mul_f64(factor);
+        if !time.is_zero() {
+            tokio::time::sleep(time).await;
+        }
         for path in &self.cfg.calls {
             let status = self.call(path, map).await;
             if !status.is_success() {
