--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -13,7 +13,7 @@
 
 use super::client::{CallResult, CallerClient};
 use super::config::{Kind, LoadConfig};
-use super::report::LoadReport;
+use super::report::{INTERVAL, LoadReport};
 
 /// Callers whose requests share fairly.
 const CALLERS: usize = 40;
@@ -22,7 +22,7 @@
     number: u64,
     kind: Kind,
     target: SocketAddr,
-    second: usize,
+    interval: usize,
     caller: usize,
 }
 
@@ -73,7 +73,7 @@
         number,
         kind: chosen.clone(),
         target: cfg.targets[rng.below(cfg.targets.len())],
-        second: due.as_secs() as usize,
+        interval: (due.as_millis() / INTERVAL.as_millis()) as usize,
         caller: rng.below(CALLERS),
     }
 }
@@ -117,13 +117,13 @@
     elapsed: Duration,
     result: &CallResult,
 ) {
-    if report.seconds.len() <= arrival.second {
-        report.seconds.resize_with(arrival.second + 1, Default::default);
+    if report.intervals.len() <= arrival.interval {
+        report.intervals.resize_with(arrival.interval + 1, Default::default);
     }
     let in_time = elapsed <= arrival.kind.deadline;
     let good = result.is_ok() && in_time;
-    report.seconds[arrival.second].requests += 1;
-    report.seconds[arrival.second].good += u64::from(good);
+    report.intervals[arrival.interval].requests += 1;
+    report.intervals[arrival.interval].good += u64::from(good);
     let kind = report.kinds.entry(arrival.kind.name.clone()).or_default();
     kind.requests += 1;
     kind.calls += u64::from(calls);
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -8,4 +8,4 @@
 pub use client::{CallResult, CallerClient};
 pub use config::{Kind, LoadConfig, Phase};
 pub use driver::run;
-pub use report::{KindReport, LoadReport, SecondReport};
+pub use report::{INTERVAL, IntervalReport, KindReport, LoadReport};
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -5,6 +5,9 @@
 
 use snipehollow_core::data_type;
 
+/// Length of one interval of a [`LoadReport`].
+pub const INTERVAL: Duration = Duration::from_millis(100);
+
 data_type! {
     /// What one kind of request brought.
     #[derive(Default)]
@@ -30,9 +33,9 @@
         pub latencies_us: Vec<u32>,
     }
 
-    /// Good answers of one second of the run, by the time of the request.
+    /// Good answers of one interval of [`INTERVAL`], by the time of the request.
     #[derive(Default)]
-    pub struct SecondReport {
+    pub struct IntervalReport {
         /// Requests of callers.
         pub requests: u64,
         /// Whole answers within the deadline.
@@ -44,8 +47,8 @@
     pub struct LoadReport {
         /// By kind of request.
         pub kinds: BTreeMap<String, KindReport>,
-        /// By second of the run.
-        pub seconds: Vec<SecondReport>,
+        /// By interval of the run.
+        pub intervals: Vec<IntervalReport>,
     }
 }
 
@@ -70,12 +73,31 @@
         self.kinds.values().map(|kind| kind.good).sum()
     }
 
-    /// Returns the good answers per second in a range of seconds.
-    pub fn goodput(&self, seconds: std::ops::Range<usize>) -> f64 {
-        let length = seconds.len().max(1);
-        let good: u64 =
-            self.seconds.iter().take(seconds.end).skip(seconds.start).map(|s| s.good).sum();
-        good as f64 / length as f64
+    /// Returns the good answers per second of requests in a span of the run.
+    pub fn goodput(&self, from: Duration, to: Duration) -> f64 {
+        let good: u64 = self.span(from, to).iter().map(|interval| interval.good).sum();
+        good as f64 / (to - from).as_secs_f64()
+    }
+
+    /// Returns the time after `from` until requests are served again: the first interval
+    /// from which on every window of one second has at least this share of good answers.
+    pub fn recovery(&self, from: Duration, share: f64) -> Option<Duration> {
+        let rest = self.span(from, Duration::MAX);
+        let window = (1_000 / INTERVAL.as_millis()) as usize;
+        let good: Vec<bool> = rest.windows(window).map(|w| is_good(w, share)).collect();
+        let last_bad = good.iter().rposition(|good| !good);
+        match last_bad {
+            None => Some(Duration::ZERO),
+            Some(index) if index + 1 == good.len() => None,
+            Some(index) => Some(INTERVAL * (index as u32 + 1)),
+        }
+    }
+
+    fn span(&self, from: Duration, to: Duration) -> &[IntervalReport] {
+        let index = |at: Duration| {
+            ((at.as_millis() / INTERVAL.as_millis()) as usize).min(self.intervals.len())
+        };
+        &self.intervals[index(from)..index(to)]
     }
 
     /// Returns a table by kind.
@@ -100,3 +122,9 @@
         table
     }
 }
+
+fn is_good(intervals: &[IntervalReport], share: f64) -> bool {
+    let requests: u64 = intervals.iter().map(|interval| interval.requests).sum();
+    let good: u64 = intervals.iter().map(|interval| interval.good).sum();
+    good as f64 >= requests as f64 * share
+}
