--- a/crates/cli/src/commands/quarantine.rs
+++ b/crates/cli/src/commands/quarantine.rs
@@ -48,7 +48,8 @@
         let found: Vec<QuarantineEntry> = nodes::get(*node, "/quarantine")?;
         entries.extend(found);
     }
-    entries.sort_by_key(|entry| (entry.fingerprint, std::cmp::Reverse(entry.version)));
+    entries
+        .sort_by_key(|entry| (entry.fingerprint, std::cmp::Reverse((entry.lifts, entry.crashes))));
     entries.dedup_by_key(|entry| entry.fingerprint);
     print(json, &Listed { entries })
 }
--- a/crates/cli/src/commands/sheet.rs
+++ b/crates/cli/src/commands/sheet.rs
@@ -164,7 +164,11 @@
     author: &str,
 ) -> Result<(u64, bool), CliError> {
     let store = target.store()?;
-    let states = nodes::states(target.known_nodes());
+    let states = nodes::states(target.nodes()?);
+    if states.is_empty() {
+        // Only the fleet can tell that the store came back with old data.
+        return Err(CliError::NoNodeAnswers);
+    }
     let fleet_revision = states.iter().map(|(_, state)| state.revision).max().unwrap_or(0);
     let change_id = format!("{:016x}", getrandom::u64().map_err(CliError::Random)?);
     let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -30,6 +30,8 @@
     NoStore,
     /// no node is named: give --nodes or a settings file with [nodes] admin
     NoNodes,
+    /// no node that was asked answers, so nothing is committed
+    NoNodeAnswers,
     /// {0}
     Commit(CommitError),
     /// {0}
--- a/crates/config/src/model/head.rs
+++ b/crates/config/src/model/head.rs
@@ -55,6 +55,24 @@
         pub recent: Vec<Change>,
         /// The newest index; `recent` lists every change after it.
         pub index: IndexRef,
+        /// Digest of every section at this revision, so that a node whose own history
+        /// differs notices it.
+        pub content: SectionDigest,
+    }
+}
+
+impl SectionRef {
+    /// Digests a list of all sections, in any order; removed ones do not count.
+    pub fn digest_all(sections: &[SectionRef]) -> SectionDigest {
+        let mut existing: Vec<&SectionRef> =
+            sections.iter().filter(|section| section.digest.is_some()).collect();
+        existing.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut text = String::new();
+        for section in existing {
+            let digest = section.digest.map_or_else(String::new, |digest| digest.to_string());
+            text.push_str(&format!("{} {digest}\n", section.name));
+        }
+        SectionDigest::of(&text)
     }
 }
 
--- a/crates/config/src/model/state.rs
+++ b/crates/config/src/model/state.rs
@@ -48,8 +48,13 @@
         /// Revision that the delta starts from.
         since: u64,
     },
-    /// section {name} is missing or differs from the digest that the head names
-    Incomplete {
+    /// the sections are not those of revision {offered}: the whole of it is needed
+    WrongContent {
+        /// Revision that was offered.
+        offered: u64,
+    },
+    /// section {name} has the name of another one
+    WrongName {
         /// Name of the section.
         name: SectionName,
     },
@@ -135,11 +140,7 @@
 
     /// Returns every section that exists and its digest, in order of the names.
     pub fn section_refs(&self) -> Vec<SectionRef> {
-        let mut refs: Vec<SectionRef> = self
-            .sections
-            .iter()
-            .map(|(name, s)| SectionRef { name: name.clone(), digest: Some(s.digest) })
-            .collect();
+        let mut refs = refs(&self.sections);
         refs.sort_by(|a, b| a.name.cmp(&b.name));
         refs
     }
@@ -169,8 +170,8 @@
 
     /// Takes in a delta whole, or not at all.
     ///
-    /// Errors: the delta is not newer, starts elsewhere, or lacks a section that the head
-    /// names. The state is then unchanged.
+    /// Errors: the delta is not newer, starts elsewhere, or does not lead to the sections of
+    /// its head; then a delta of all sections may. The state is unchanged.
     pub fn apply(&mut self, delta: &ConfigDelta) -> Result<(), DeltaError> {
         let in_force = self.revision();
         if delta.head.revision <= in_force {
@@ -180,7 +181,9 @@
             return Err(DeltaError::WrongBase { in_force, since });
         }
         let sections = self.next_sections(delta)?;
-        check_complete(&delta.head, &sections)?;
+        if SectionRef::digest_all(&refs(&sections)) != delta.head.content {
+            return Err(DeltaError::WrongContent { offered: delta.head.revision });
+        }
         self.sections = sections;
         self.head = Some(delta.head.clone());
         invariant!(self.revision() > in_force, "revision fell below {in_force}");
@@ -243,7 +246,7 @@
     let section = Section::from_stored(stored)
         .map_err(|cause| DeltaError::Malformed { name: name.clone(), cause })?;
     if section.name() != *name {
-        return Err(DeltaError::Incomplete { name: name.clone() });
+        return Err(DeltaError::WrongName { name: name.clone() });
     }
     Ok(StoredSection {
         digest: SectionDigest::of(stored),
@@ -252,21 +255,9 @@
     })
 }
 
-/// Checks that every section has the digest of the newest change that names it.
-fn check_complete(
-    head: &Head,
-    sections: &FastMap<SectionName, StoredSection>,
-) -> Result<(), DeltaError> {
-    let mut newest: FastMap<&SectionName, Option<SectionDigest>> = FastMap::default();
-    for change in &head.recent {
-        for section in &change.sections {
-            newest.insert(&section.name, section.digest);
-        }
-    }
-    for (name, digest) in newest {
-        if sections.get(name).map(|section| section.digest) != digest {
-            return Err(DeltaError::Incomplete { name: name.clone() });
-        }
-    }
-    Ok(())
+fn refs(sections: &FastMap<SectionName, StoredSection>) -> Vec<SectionRef> {
+    sections
+        .iter()
+        .map(|(name, section)| SectionRef { name: name.clone(), digest: Some(section.digest) })
+        .collect()
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -20,10 +20,12 @@
     pub struct QuarantineEntry {
         /// Digest of the request.
         pub fingerprint: Fingerprint,
-        /// Upstreams that died while they ran it; 0 after an operator lifted it.
+        /// Upstreams that died while they ran it; 0 once it is cleared or lifted.
         pub crashes: u8,
-        /// Order of changes: the entry with the higher version wins.
-        pub version: u32,
+        /// Times that it was cleared by finishing.
+        pub clears: u32,
+        /// Times that an operator lifted it.
+        pub lifts: u32,
         /// Time until it expires, in milliseconds, when the message was sent.
         pub expires_in_ms: u64,
     }
@@ -52,28 +54,35 @@
 #[derive(Clone, Debug)]
 struct Entry {
     crashes: u8,
-    version: u32,
+    clears: u32,
+    lifts: u32,
     expires: Timestamp,
 }
 
+/// Order of the states of one fingerprint: two nodes that differ both take the greater.
+///
+/// A lift beats all before it. A quarantine beats a clearing, which may come from a host that
+/// did not know of the second crash. A clearing beats the suspicion that it answers.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Standing {
+    lifts: u32,
+    quarantined: bool,
+    clears: u32,
+    crashes: u8,
+}
+
 /// Suspected and quarantined fingerprints, and the tries running at one upstream.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     entries: FastMap<Fingerprint, Entry>,
     running: FastMap<TryId, Fingerprint>,
-    suspects_running: FastSet<TryId>,
     retention: Duration,
 }
 
 impl Quarantine {
     /// Creates an empty quarantine whose entries expire after `retention`.
     pub fn new(retention: Duration) -> Quarantine {
-        Quarantine {
-            entries: FastMap::default(),
-            running: FastMap::default(),
-            suspects_running: FastSet::default(),
-            retention,
-        }
+        Quarantine { entries: FastMap::default(), running: FastMap::default(), retention }
     }
 
     /// Tells whether a request may run now.
@@ -100,27 +109,26 @@
         if entry.crashes >= CRASHES_TO_QUARANTINE {
             return Verdict::Quarantined;
         }
-        match (entry.crashes, self.suspects_running.is_empty()) {
-            (0, _) => Verdict::Clear,
-            (_, true) => Verdict::Alone,
-            (_, false) => Verdict::Busy,
+        if entry.crashes == 0 {
+            return Verdict::Clear;
         }
+        // Looked up now and not when the others started: suspicion of a request that runs
+        // already may have arrived meanwhile.
+        let busy = self.running.values().any(|running| self.is_suspect(*running));
+        if busy { Verdict::Busy } else { Verdict::Alone }
     }
 
     /// Records that another node saw an upstream die while it ran the request.
     pub fn suspect(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         if !self.entries.contains_key(&fingerprint) {
             let expires = now + self.retention;
-            self.insert(now, fingerprint, Entry { crashes: 1, version: 1, expires });
+            self.insert(now, fingerprint, Entry { crashes: 1, clears: 0, lifts: 0, expires });
         }
     }
 
     /// Records that a try was dispatched.
     pub fn start(&mut self, id: TryId, fingerprint: Fingerprint) {
         self.running.insert(id, fingerprint);
-        if self.entries.get(&fingerprint).is_some_and(|entry| entry.crashes > 0) {
-            self.suspects_running.insert(id);
-        }
     }
 
     /// Records that a try ended while its upstream lived, and returns the cleared entry if
@@ -132,7 +140,6 @@
         completed: bool,
     ) -> Option<QuarantineEntry> {
         let fingerprint = self.running.remove(&id)?;
-        self.suspects_running.remove(&id);
         if !completed {
             return None;
         }
@@ -141,7 +148,7 @@
             return None;
         }
         entry.crashes = 0;
-        entry.version += 1;
+        entry.clears += 1;
         Some(entry.to_message(fingerprint, now))
     }
 
@@ -150,29 +157,30 @@
     /// If suspects were running, only they are blamed: the others are bystanders.
     pub fn upstream_died(&mut self, now: Timestamp) -> Vec<QuarantineEntry> {
         let running = std::mem::take(&mut self.running);
-        let suspects = std::mem::take(&mut self.suspects_running);
-        let blamed: FastSet<Fingerprint> = running
-            .iter()
-            .filter(|(id, _)| suspects.is_empty() || suspects.contains(id))
-            .map(|(_, fingerprint)| *fingerprint)
-            .collect();
-        blamed.into_iter().filter_map(|fingerprint| self.blame(now, fingerprint)).collect()
+        let running: FastSet<Fingerprint> = running.into_values().collect();
+        let suspects: FastSet<Fingerprint> =
+            running.iter().copied().filter(|running| self.is_suspect(*running)).collect();
+        let blamed = if suspects.is_empty() { running } else { suspects };
+        // A death with several candidates convicts none of them: a bystander may have been
+        // beside the same request twice.
+        let most = if blamed.len() == 1 { CRASHES_TO_QUARANTINE } else { 1 };
+        blamed.into_iter().filter_map(|fingerprint| self.blame(now, fingerprint, most)).collect()
     }
 
     /// Takes in an entry from another node; returns true if it changed anything.
     pub fn merge(&mut self, now: Timestamp, message: &QuarantineEntry) -> bool {
         let expires_in = Duration::from_millis(message.expires_in_ms).min(self.retention);
-        let incoming =
-            Entry { crashes: message.crashes, version: message.version, expires: now + expires_in };
+        let incoming = Entry {
+            crashes: message.crashes,
+            clears: message.clears,
+            lifts: message.lifts,
+            expires: now + expires_in,
+        };
         if expires_in.is_zero() {
             return false;
         }
         match self.entries.get_mut(&message.fingerprint) {
-            Some(entry)
-                if (incoming.version, incoming.crashes) <= (entry.version, entry.crashes) =>
-            {
-                false
-            }
+            Some(entry) if incoming.standing() <= entry.standing() => false,
             Some(entry) => {
                 *entry = incoming;
                 true
@@ -185,7 +193,7 @@
     pub fn lift(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
         let entry = self.entries.get_mut(&fingerprint)?;
         entry.crashes = 0;
-        entry.version += 1;
+        entry.lifts += 1;
         entry.expires = now + self.retention;
         Some(entry.to_message(fingerprint, now))
     }
@@ -207,15 +215,23 @@
         list
     }
 
-    fn blame(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
+    fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.entries.get(&fingerprint).is_some_and(|entry| entry.crashes > 0)
+    }
+
+    fn blame(
+        &mut self,
+        now: Timestamp,
+        fingerprint: Fingerprint,
+        most: u8,
+    ) -> Option<QuarantineEntry> {
         let expires = now + self.retention;
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
-            entry.crashes = entry.crashes.saturating_add(1).min(CRASHES_TO_QUARANTINE);
-            entry.version += 1;
+            entry.crashes = entry.crashes.max((entry.crashes + 1).min(most));
             entry.expires = expires;
             return Some(entry.to_message(fingerprint, now));
         }
-        let entry = Entry { crashes: 1, version: 1, expires };
+        let entry = Entry { crashes: 1, clears: 0, lifts: 0, expires };
         let message = entry.to_message(fingerprint, now);
         self.insert(now, fingerprint, entry).then_some(message)
     }
@@ -243,11 +259,21 @@
 }
 
 impl Entry {
+    fn standing(&self) -> Standing {
+        Standing {
+            lifts: self.lifts,
+            quarantined: self.crashes >= CRASHES_TO_QUARANTINE,
+            clears: self.clears,
+            crashes: self.crashes,
+        }
+    }
+
     fn to_message(&self, fingerprint: Fingerprint, now: Timestamp) -> QuarantineEntry {
         QuarantineEntry {
             fingerprint,
             crashes: self.crashes,
-            version: self.version,
+            clears: self.clears,
+            lifts: self.lifts,
             expires_in_ms: self.expires.since(now).as_millis() as u64,
         }
     }
--- /dev/null
+++ b/crates/fuzzing/src/fleet/mod.rs
@@ -0,0 +1,14 @@
+//! Many membership and configuration state machines joined by a fake network.
+//!
+//! The network is a queue of messages with loss, delay, reordering and partitions; the hosts
+//! can be killed, paused, replaced and told to leave. No sockets, threads or real time.
+
+mod host;
+mod measure;
+mod network;
+mod plan;
+mod run;
+
+pub use measure::FleetReport;
+pub use plan::{Disturbance, FleetPlan};
+pub use run::{Fleet, check_fleet};
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use snipehollow_config::model::{ConfigDelta, DeltaError};
 use snipehollow_core::ids::ZoneName;
 use snipehollow_core::membership::{
     DirectoryAction, DirectoryAnswer, DirectoryQuery, GossipItem, GossipMessage, MemberAction,
@@ -263,28 +264,39 @@
     });
 }
 
+/// Pulls what this node lacks; all of it if its own history differs.
 async fn pull_config_once(shared: &Arc<Shared>, from: SocketAddr) {
     let revision = shared.control().config().revision();
+    if !pull_since(shared, from, revision).await {
+        pull_since(shared, from, 0).await;
+    }
+}
+
+async fn pull_since(shared: &Arc<Shared>, from: SocketAddr, revision: u64) -> bool {
     let answer: Result<ConfigAnswer, RpcError> =
         call(shared, from, control::CONFIG, ConfigRequest { revision }).await;
-    let delta = match answer {
-        Ok(answer) => answer.delta,
+    match answer {
+        Ok(answer) => answer.delta.is_none_or(|delta| adopt(shared, &delta)),
         Err(err) => {
             log::debug!(from = from.to_string(); "configuration pull failed: {err}");
-            None
+            true
         }
-    };
-    if let Some(delta) = delta {
-        adopt(shared, &delta);
     }
 }
 
 /// Puts a configuration in force and tells a few members at once.
-pub(crate) fn adopt(shared: &Arc<Shared>, delta: &snipehollow_config::model::ConfigDelta) {
+///
+/// Returns false if it was not taken and the whole of it is needed.
+pub(crate) fn adopt(shared: &Arc<Shared>, delta: &ConfigDelta) -> bool {
     let result = shared.control().apply_config(delta);
-    if let Err(err) = result {
-        log::warn!("configuration was not taken: {err}");
-        return;
+    match result {
+        Ok(()) => {}
+        // Another way brought it, or a newer one, meanwhile.
+        Err(DeltaError::NotNewer { .. }) => return true,
+        Err(err) => {
+            log::warn!("configuration was not taken: {err}");
+            return false;
+        }
     }
     publish(shared);
     let addrs = {
@@ -305,6 +317,7 @@
             }
         });
     }
+    true
 }
 
 /// Lets a watcher learn the configuration from another zone, for a zone that is cut off from
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -7,10 +7,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use snipehollow_config::model::Head;
+use snipehollow_config::model::{ConfigState, Head};
 use snipehollow_store::{
-    HttpStore, SeedList, StoreError, Version, load_delta, load_seeds, publish_seeds, republish,
-    watch_head,
+    HttpStore, LoadError, RepairNeed, SeedList, StoreError, Version, load_delta, load_head,
+    load_seeds, publish_seeds, reissue, repair_need, republish, watch_head,
 };
 
 use crate::NodeError;
@@ -136,7 +136,24 @@
                 self.succeeded();
                 self.on_head(&head);
             }
-            Ok(None) => self.succeeded(),
+            Ok(None) => {
+                self.succeeded();
+                self.look_for_loss();
+            }
+            Err(err) => self.failed(&err),
+        }
+    }
+
+    /// A watch says nothing of a key that vanished, so the head is read now and then.
+    fn look_for_loss(&mut self) {
+        self.shared.metrics.store_calls.inc();
+        match load_head(&self.store) {
+            Ok((None, version)) => {
+                self.version = version;
+                let in_force = self.shared.control().config().clone();
+                self.repair(None, &in_force);
+            }
+            Ok((Some(_), _)) => {}
             Err(err) => self.failed(&err),
         }
     }
@@ -145,17 +162,18 @@
         let in_force = self.shared.control().config().clone();
         if head.revision > in_force.revision() {
             self.load(head, &in_force);
-        } else if head.revision < in_force.revision() {
-            self.repair(head, &in_force);
+        } else {
+            self.repair(Some(head), &in_force);
         }
     }
 
-    fn load(&mut self, head: &Head, in_force: &snipehollow_config::model::ConfigState) {
-        match load_delta(&self.store, head, in_force) {
-            Ok(delta) => {
-                self.shared.metrics.store_calls.inc_by(delta.sections.len() as u64);
-                adopt(&self.shared, &delta);
-            }
+    fn load(&mut self, head: &Head, in_force: &ConfigState) {
+        let taken = self.load_from(head, in_force).and_then(|taken| {
+            // A node whose own history differs takes all sections.
+            if taken { Ok(true) } else { self.load_from(head, &ConfigState::new()) }
+        });
+        match taken {
+            Ok(_) => {}
             Err(err) => {
                 log::warn!(revision = head.revision; "cannot load the configuration: {err}");
                 // The next watch must return this head again.
@@ -165,16 +183,32 @@
         }
     }
 
-    /// The store came back with old data: what is in force is written back.
-    fn repair(&mut self, head: &Head, in_force: &snipehollow_config::model::ConfigState) {
+    /// Loads a head's sections and puts them in force; false if they were not taken.
+    fn load_from(&self, head: &Head, base: &ConfigState) -> Result<bool, LoadError> {
+        let delta = load_delta(&self.store, head, base)?;
+        self.shared.metrics.store_calls.inc_by(delta.sections.len() as u64);
+        Ok(adopt(&self.shared, &delta))
+    }
+
+    /// Repairs a store that came back with old data or none.
+    fn repair(&mut self, head: Option<&Head>, in_force: &ConfigState) {
+        let need = repair_need(head, in_force);
+        if need == RepairNeed::None {
+            return;
+        }
         log::warn!(
-            store = head.revision,
+            store = head.map_or(0, |head| head.revision),
             in_force = in_force.revision();
-            "the store is behind and is repaired"
+            "the store lost data and is repaired"
         );
-        match republish(&self.store, in_force, self.version) {
+        let result = match (need, head) {
+            (RepairNeed::Reissue, Some(head)) => reissue(&self.store, head, self.version),
+            _ => republish(&self.store, in_force, self.version).map_err(LoadError::Store),
+        };
+        match result {
             Ok(repaired) => log::info!(repaired; "repair of the store ended"),
-            Err(err) => self.failed(&err),
+            Err(LoadError::Store(err)) => self.failed(&err),
+            Err(err @ LoadError::Missing(_)) => log::error!("cannot repair the store: {err}"),
         }
     }
 
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -199,7 +199,8 @@
     });
     let excess = recent.len().saturating_sub(RECENT_CHANGES);
     recent.drain(..excess);
-    Head { revision, recent, index }
+    let content = SectionRef::digest_all(&all_refs(commit.sections));
+    Head { revision, recent, index, content }
 }
 
 /// Swaps the head, and settles by reading back if the answer is lost.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,7 +19,9 @@
 pub use client::{HttpStore, KvStore, Version, Versioned};
 pub use commit::{Commit, CommitError, commit_sections, load_all};
 pub use error::StoreError;
-pub use load::{LoadError, load_delta, load_head, republish, watch_head};
+pub use load::{
+    LoadError, RepairNeed, load_delta, load_head, reissue, repair_need, republish, watch_head,
+};
 pub use seeds::{SeedList, load_seeds, publish_seeds};
 
 /// Key of the configuration's head.
--- a/crates/store/src/load.rs
+++ b/crates/store/src/load.rs
@@ -1,10 +1,11 @@
 //! Reads of the configuration.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use displaydoc::Display;
 use snipehollow_config::model::{
-    ConfigDelta, ConfigState, Head, Index, SectionName, SectionRef, SectionValue,
+    Change, ConfigDelta, ConfigState, Head, Index, SectionName, SectionRef, SectionValue,
 };
 
 use crate::client::{KvStore, Version};
@@ -71,8 +72,57 @@
     Ok(ConfigDelta { head: head.clone(), since, sections })
 }
 
+/// Tells what a store that holds `head` needs from a node.
+///
+/// ```
+/// use snipehollow_config::model::ConfigState;
+/// use snipehollow_store::{RepairNeed, repair_need};
+///
+/// assert_eq!(repair_need(None, &ConfigState::new()), RepairNeed::None);
+/// ```
+pub fn repair_need(head: Option<&Head>, in_force: &ConfigState) -> RepairNeed {
+    let revision = head.map_or(0, |head| head.revision);
+    match revision.cmp(&in_force.revision()) {
+        Ordering::Less => RepairNeed::Republish,
+        Ordering::Equal if head.map(Head::change_id) != in_force.head().map(Head::change_id) => {
+            RepairNeed::Reissue
+        }
+        _ => RepairNeed::None,
+    }
+}
+
+/// What a store needs from a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepairNeed {
+    /// Nothing.
+    None,
+    /// The store lost data: what is in force has to be written back.
+    Republish,
+    /// The store lost data, and another change took a revision's number since: the store's
+    /// change has to be issued under a new number.
+    Reissue,
+}
+
+/// Issues the store's newest configuration again under the next revision, so that nodes with
+/// another change under the same number take it; returns true if that took effect.
+pub fn reissue(store: &impl KvStore, head: &Head, version: Version) -> Result<bool, LoadError> {
+    let sections = all_sections(store, head)?;
+    let revision = head.revision + 1;
+    let index = write_index(store, revision, sections.clone())?;
+    let change = Change {
+        revision,
+        change_id: format!("reissue-{}", head.change_id()),
+        author: "repair of the store".into(),
+        at: head.last().map_or(0, |change| change.at),
+        sections,
+    };
+    // Older changes are left out: nodes that hold others by the same numbers need all of it.
+    let head = Head { revision, recent: vec![change], index, content: head.content };
+    Ok(store.put(HEAD_KEY, &to_json(&head), version)?.is_some())
+}
+
 /// Writes the configuration in force at a node back to a store that came back with an older
-/// one; returns true if the store has it now.
+/// one, or with none; returns true if the store has it now.
 ///
 /// The head is swapped only from the version that was found to be older, so a commit that
 /// happens meanwhile is not overwritten.
