--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -60,6 +60,8 @@
     TicketInvalid => "ticket-invalid",
     /// The ticket expired before it was used.
     TicketExpired => "ticket-expired",
+    /// The ticket was given up because its host leaves; it will never be run.
+    TicketVoid => "ticket-void",
     /// The ticket was used for another request.
     TicketMismatch => "ticket-mismatch",
     /// The ticket was issued by an earlier start of the host.
--- a/crates/core/src/ticket/book.rs
+++ b/crates/core/src/ticket/book.rs
@@ -84,6 +84,8 @@
     Mismatch,
     /// The ticket expired and was never used.
     Expired,
+    /// The ticket was given up before it was used and will never be run.
+    Void,
     /// Issued by an earlier start of this host, or by another host: nothing is known of it.
     Lost,
     /// Forged or damaged.
@@ -188,6 +190,7 @@
         }
         match self.history.get(ticket.serial) {
             SerialState::Ran => Presented::AnswerGone,
+            SerialState::Void => Presented::Void,
             SerialState::Claimed | SerialState::Forgotten => Presented::Unknown,
             SerialState::Unused if ticket.expires <= now => Presented::Expired,
             SerialState::Unused => self.claim(ticket.serial, request),
@@ -196,12 +199,24 @@
 
     /// Gives a claimed serial back, for a request that was proven not to have run.
     pub fn release(&mut self, serial: u64) {
+        self.give_up(serial, SerialState::Unused);
+    }
+
+    /// Gives a claimed serial up for ever, for a request that was proven not to have run and
+    /// whose caller is sent to another host.
+    ///
+    /// A late repeat of the old ticket then cannot run beside the new one.
+    pub fn void(&mut self, serial: u64) {
+        self.give_up(serial, SerialState::Void);
+    }
+
+    fn give_up(&mut self, serial: u64, state: SerialState) {
         let released = self.records.remove(&serial);
         invariant!(
             released.as_ref().is_none_or(|r| matches!(r.progress, Progress::Running)),
             "ticket serial {serial} given back after it ended"
         );
-        self.history.set(serial, SerialState::Unused);
+        self.history.set(serial, state);
     }
 
     /// Records the complete answer of a claimed serial.
--- a/crates/core/src/ticket/history.rs
+++ b/crates/core/src/ticket/history.rs
@@ -11,6 +11,8 @@
         Claimed,
         /// Ran to its end.
         Ran,
+        /// Never to be run, because its host leaves.
+        Void,
         /// Older than the history reaches.
         Forgotten,
     }
@@ -54,7 +56,8 @@
         match bits & 0b11 {
             0 => SerialState::Unused,
             1 => SerialState::Claimed,
-            _ => SerialState::Ran,
+            2 => SerialState::Ran,
+            _ => SerialState::Void,
         }
     }
 
@@ -64,6 +67,7 @@
             SerialState::Unused => 0u64,
             SerialState::Claimed => 1,
             SerialState::Ran => 2,
+            SerialState::Void => 3,
             SerialState::Forgotten => return,
         };
         let word = serial / SERIALS_PER_WORD;
--- a/crates/fuzzing/src/generators/ticket.rs
+++ b/crates/fuzzing/src/generators/ticket.rs
@@ -28,6 +28,11 @@
         /// Chooses among the claimed requests.
         pick: u16,
     },
+    /// A claimed request is refused before dispatch, and its caller sent to another host.
+    Void {
+        /// Chooses among the claimed requests.
+        pick: u16,
+    },
     /// A claimed request runs, and its answer arrives.
     Complete {
         /// Chooses among the claimed requests.
@@ -68,7 +73,8 @@
                 misrouted: rng.chance(0.05),
                 other_request: rng.chance(0.05),
             },
-            65..72 => TicketOp::Release { pick },
+            65..70 => TicketOp::Release { pick },
+            70 | 71 => TicketOp::Void { pick },
             72..87 => TicketOp::Complete { pick, bytes: rng.below(2_000) as u16 },
             87..93 => TicketOp::Lose { pick, ran: rng.chance(0.5) },
             _ => TicketOp::Advance { seconds: rng.below(300) as u16 },
--- a/crates/fuzzing/src/oracles/ticket.rs
+++ b/crates/fuzzing/src/oracles/ticket.rs
@@ -35,6 +35,8 @@
     /// Whether a process that may have run it was restarted or lost its answer.
     uncertain: bool,
     completed: bool,
+    /// Whether its host gave it up.
+    void: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -120,6 +122,16 @@
                 }
                 Ok(())
             }
+            TicketOp::Void { pick } => {
+                if let Some((ticket, serial)) = self.take_claimed(pick) {
+                    let truth = self.truth.entry(ticket).or_default();
+                    truth.claimed = false;
+                    truth.void = true;
+                    let host = self.issued[ticket].host;
+                    self.books[host].void(serial);
+                }
+                Ok(())
+            }
             TicketOp::Complete { pick, bytes } => {
                 if let Some((ticket, serial)) = self.take_claimed(pick) {
                     self.run(ticket, true);
@@ -172,6 +184,7 @@
                 check!(current, "ticket {index} runs at a host that did not issue it");
                 check!(!truth.claimed, "ticket {index} runs while it is claimed");
                 check!(truth.runs == 0 && !truth.uncertain, "ticket {index} may run twice");
+                check!(!truth.void, "ticket {index} runs after it was given up");
                 check!(issued.ticket.expires > self.now, "ticket {index} runs after its expiry");
                 truth.claimed = true;
                 self.claimed.push(index);
@@ -196,6 +209,7 @@
             Presented::Expired => {
                 check!(truth.runs == 0 && !truth.claimed, "ticket {index} said not run, but ran");
             }
+            Presented::Void => check!(truth.void, "ticket {index} is void without a cause"),
             Presented::Invalid => {
                 return Err(Violation::new(format!("ticket {index} is genuine but refused")));
             }
--- a/crates/node/src/host/tickets.rs
+++ b/crates/node/src/host/tickets.rs
@@ -52,6 +52,7 @@
             Presented::Unknown => TicketUse::Refuse(Reason::TicketUnknown, Outcome::Unknown),
             Presented::Mismatch => TicketUse::Refuse(Reason::TicketMismatch, Outcome::NotRun),
             Presented::Expired => TicketUse::Refuse(Reason::TicketExpired, Outcome::NotRun),
+            Presented::Void => TicketUse::Refuse(Reason::TicketVoid, Outcome::NotRun),
             Presented::Lost => TicketUse::Refuse(Reason::TicketLost, Outcome::Unknown),
             Presented::Invalid => TicketUse::Refuse(Reason::TicketInvalid, Outcome::NotRun),
         }
@@ -61,6 +62,7 @@
     pub(crate) fn end_ticket(&mut self, now: Timestamp, serial: u64, answer: &Arc<Answer>) {
         self.ticket_runs.remove(&serial);
         match answer.outcome {
+            Outcome::NotRun if host_gives_up(answer.reason) => self.tickets.void(serial),
             Outcome::NotRun => self.tickets.release(serial),
             Outcome::Unknown => self.tickets.fail(serial),
             Outcome::Ran => {
@@ -69,3 +71,8 @@
         }
     }
 }
+
+/// Tells whether a refusal sends the caller to another host.
+fn host_gives_up(reason: Reason) -> bool {
+    matches!(reason, Reason::Leaving | Reason::NoUpstream)
+}
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -163,7 +163,9 @@
             StatusCode::GATEWAY_TIMEOUT
         }
         Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
-        Reason::TicketNeeded | Reason::TicketExpired => StatusCode::PRECONDITION_REQUIRED,
+        Reason::TicketNeeded | Reason::TicketExpired | Reason::TicketVoid => {
+            StatusCode::PRECONDITION_REQUIRED
+        }
         Reason::TicketInvalid | Reason::BadRequest => StatusCode::BAD_REQUEST,
         Reason::TicketMismatch
         | Reason::TicketLost
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -43,6 +43,12 @@
         time_in_tries += traffic.shared.clock.now().since(before);
         progress.note(&route.host.host, &answer);
         invariant!(retries.spent() <= total.0, "{} retries of {}", retries.spent(), total.0);
+        if needs_new_ticket(&call, &answer) {
+            // The old ticket will never be run, so another host may issue one; that is no
+            // retry, for nothing is run.
+            call = without_ticket(&call);
+            continue;
+        }
         if answer.is_upstreams() || !may_retry(traffic, &call, retries, &progress, &answer) {
             let all = traffic.shared.clock.now().since(started);
             traffic.shared.metrics.added_latency(all.saturating_sub(time_in_tries).as_secs_f64());
@@ -98,9 +104,7 @@
         Some(ticket) => {
             let router = host.router(now, &snapshot);
             let bound = router.find(&call.service, &ticket.host).cloned();
-            bound
-                .map(|host| Route { distance: router.distance(&host), host })
-                .ok_or(Reason::Unreachable)
+            bound.map(|host| Route { distance: router.distance(&host), host }).ok_or(Reason::NoHost)
         }
         None => {
             let query = RouteQuery { service: &call.service, rank: call.class.rank, tried };
@@ -178,6 +182,20 @@
     refusal.is_none() && retries.spend()
 }
 
+/// Tells whether the host of a ticket gave it up before it was used.
+fn needs_new_ticket(call: &Call, answer: &Answer) -> bool {
+    let given_up =
+        matches!(answer.reason, Reason::Leaving | Reason::NoUpstream | Reason::TicketVoid);
+    call.ticket.is_some() && given_up && answer.outcome == Outcome::NotRun
+}
+
+fn without_ticket(call: &Call) -> Arc<Call> {
+    let mut next = call.clone();
+    next.ticket = None;
+    next.attempt += 1;
+    Arc::new(next)
+}
+
 /// Tells whether another try could do better and could do no harm.
 fn is_worth_retrying(call: &Call, answer: &Answer) -> bool {
     if call.ticket.is_some() {
@@ -218,7 +236,8 @@
 ) -> Answer {
     if !answer.is_upstreams() {
         answer.outcome = answer.outcome.combine(progress.outcome);
-        if call.ticket.is_some() && answer.reason == Reason::Unreachable {
+        let host_is_gone = matches!(answer.reason, Reason::Unreachable | Reason::NoHost);
+        if call.ticket.is_some() && host_is_gone {
             // An earlier use of the ticket may have run at the host that is out of reach.
             answer.outcome = answer.outcome.combine(Outcome::Unknown);
         }
--- /dev/null
+++ b/tests/lib.rs
@@ -0,0 +1,1 @@
+//! End-to-end tests with real processes on loopback; see `all/`.
