Membership that stays small: news without facts, bounded synchronization

Change: news of hosts that are not alive carries no facts; digests count live members only; a synchronization brings 8 of 64 buckets, all of them only to a node that joins; the gossip queue is kept in order; live members and suspects are counted, not searched; a configuration delta carries only the changes after its base. The store thread spawned tasks without a runtime and panicked at every change, ending the process at the fifth: the control tick now tells the members (test configuration_many_changes_break_no_thread).

--- /dev/null
+++ b/benches/src/bin/fleet.rs
@@ -0,0 +1,88 @@
+//! Membership and configuration of one zone through the fake network: times and slopes.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use snipehollow_fuzzing::Violation;
+use snipehollow_fuzzing::fleet::{Disturbance, FleetPlan, FleetReport, check_fleet};
+
+/// Membership and configuration of one zone through the fake network.
+#[derive(Parser)]
+struct Args {
+    /// Hosts of the zone.
+    #[arg(long, value_delimiter = ',', default_values_t = [8, 32, 128, 1_000])]
+    hosts: Vec<usize>,
+    /// Share of messages that are lost.
+    #[arg(long, default_value_t = 0.01)]
+    loss: f64,
+    /// Seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Time in which the hosts find each other before anything is measured.
+const JOIN: Duration = Duration::from_secs(40);
+/// Hosts of a rack.
+const RACK: usize = 40;
+const LENGTH: Duration = Duration::from_secs(160);
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    println!("loss {}, delay up to 5 ms, {} s, seed {}", args.loss, LENGTH.as_secs(), args.seed);
+    println!(
+        "hosts  dead host known s      leave known s         revision in force s    \
+         healed   msg/s  bytes/s  CPU"
+    );
+    println!("         p50   p99   max       p50   p99   max        p50   p99   max");
+    for hosts in &args.hosts {
+        if let Err(violation) = measure(*hosts, &args) {
+            eprintln!("fleet: {hosts} hosts: {violation}");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn measure(hosts: usize, args: &Args) -> Result<(), Violation> {
+    let started = Instant::now();
+    let report = check_fleet(&disturbed(hosts, args))?;
+    let cpu = started.elapsed().as_secs_f64() / (LENGTH.as_secs_f64() * hosts as f64);
+    let triple = |times: &[Duration]| {
+        let (p50, p99, max) = FleetReport::summary(times);
+        format!("{p50:>5.1} {p99:>5.1} {max:>5.1}")
+    };
+    let healed = report
+        .convergence
+        .map_or_else(|| "never".to_owned(), |time| format!("{:.1} s", time.as_secs_f64()));
+    println!(
+        "{hosts:>5}   {}     {}      {}   {healed:>8}  {:>6.2} {:>8.0}  {:.4}%",
+        triple(&report.detections),
+        triple(&report.leaves),
+        triple(&report.spreads),
+        report.messages_per_host_second,
+        report.bytes_per_host_second,
+        cpu * 100.0,
+    );
+    Ok(())
+}
+
+/// Deaths, leaves, commits, and a switch that cuts off a rack, at most a tenth of the hosts.
+fn disturbed(hosts: usize, args: &Args) -> FleetPlan {
+    let mut plan = FleetPlan::new(hosts, LENGTH, args.seed);
+    plan.loss = args.loss;
+    let at = |seconds: u64| JOIN + Duration::from_secs(seconds);
+    for i in 0..3 {
+        let i = i as u64;
+        let host = hosts - 1 - i as usize;
+        plan = plan
+            .with(at(i * 4), Disturbance::Commit(0))
+            .with(at(1 + i * 4), Disturbance::Kill(host));
+    }
+    plan = plan
+        .with(at(14), Disturbance::Leave(hosts - 4))
+        .with(at(30), Disturbance::Partition((hosts / 10).clamp(1, RACK)))
+        .with(at(60), Disturbance::Heal);
+    plan.disturbances.sort_by_key(|(at, _)| *at);
+    plan
+}
--- a/crates/config/src/model/state.rs
+++ b/crates/config/src/model/state.rs
@@ -8,7 +8,7 @@
 use snipehollow_core::ids::{ClassName, ServiceName};
 use snipehollow_core::{data_type, invariant};
 
-use super::head::{Head, SectionRef};
+use super::head::{Change, Head, RECENT_CHANGES, SectionRef};
 use super::section::{GlobalSection, Section, SectionDigest, SectionName, ServiceSection};
 
 data_type! {
@@ -185,7 +185,7 @@
             return Err(DeltaError::WrongContent { offered: delta.head.revision });
         }
         self.sections = sections;
-        self.head = Some(delta.head.clone());
+        self.head = Some(self.joined_head(delta));
         invariant!(self.revision() > in_force, "revision fell below {in_force}");
         Ok(())
     }
@@ -217,7 +217,27 @@
                 SectionValue { name, stored }
             })
             .collect();
-        ConfigDelta { head: head.clone(), since, sections }
+        let mut head = head.clone();
+        if let Some(since) = since {
+            // The receiver has the older changes itself.
+            head.recent.retain(|change| change.revision > since);
+        }
+        ConfigDelta { head, since, sections }
+    }
+
+    /// Joins the changes that are known here with those of a delta.
+    fn joined_head(&self, delta: &ConfigDelta) -> Head {
+        let mut head = delta.head.clone();
+        let (Some(since), Some(known)) = (delta.since, &self.head) else {
+            return head;
+        };
+        head.recent.retain(|change| change.revision > since);
+        let older = known.recent.iter().filter(|change| change.revision <= since).cloned();
+        let mut recent: Vec<Change> = older.chain(head.recent).collect();
+        let excess = recent.len().saturating_sub(RECENT_CHANGES);
+        recent.drain(..excess);
+        head.recent = recent;
+        head
     }
 
     fn next_sections(
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -1,20 +1,23 @@
 //! Changes that are piggybacked on probes.
 
-use super::member::MemberUpdate;
+use super::member::MemberNews;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
 use crate::collections::FastMap;
 use crate::ids::{Fingerprint, HostName, ServiceName};
 use crate::quarantine::QuarantineEntry;
 
 /// Most changes in one message.
-const MAX_ITEMS: usize = 12;
+const MAX_ITEMS: usize = 8;
 /// Times a change is sent, per doubling of the number of members.
-const SENDS_PER_DOUBLING: u32 = 3;
+const SENDS_PER_DOUBLING: u32 = 2;
 
 data_type! {
     /// One change.
     pub enum GossipItem {
         /// State of a member.
-        Member(MemberUpdate),
+        Member(MemberNews),
         /// A suspected, quarantined or lifted request of a service.
         Quarantine(ServiceName, QuarantineEntry),
     }
@@ -41,23 +44,24 @@
 impl GossipItem {
     fn key(&self) -> Key {
         match self {
-            GossipItem::Member(update) => Key::Member(update.host.clone()),
+            GossipItem::Member(news) => Key::Member(news.host.clone()),
             GossipItem::Quarantine(_, entry) => Key::Quarantine(entry.fingerprint),
         }
     }
 }
 
-#[derive(Clone, Debug)]
-struct Queued {
-    item: GossipItem,
+/// Place in the order of sending: least sent first, and of those the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
     sends: u32,
-    sequence: u64,
+    newest_first: Reverse<u64>,
 }
 
 /// Changes that still have to be sent; a newer one about the same thing replaces the older.
 #[derive(Clone, Debug, Default)]
 pub struct GossipQueue {
-    queued: FastMap<Key, Queued>,
+    turns: FastMap<Key, Turn>,
+    items: BTreeMap<Turn, GossipItem>,
     next_sequence: u64,
 }
 
@@ -65,40 +69,40 @@
     /// Adds a change.
     pub fn push(&mut self, item: GossipItem) {
         self.next_sequence += 1;
-        let queued = Queued { sends: 0, sequence: self.next_sequence, item };
-        self.queued.insert(queued.item.key(), queued);
+        let turn = Turn { sends: 0, newest_first: Reverse(self.next_sequence) };
+        if let Some(old) = self.turns.insert(item.key(), turn) {
+            self.items.remove(&old);
+        }
+        self.items.insert(turn, item);
     }
 
     /// Returns the least sent changes and counts them as sent to one of `members`.
     pub fn take(&mut self, members: usize) -> Vec<GossipItem> {
         let doublings = usize::BITS - members.leading_zeros() + 1;
         let max_sends = SENDS_PER_DOUBLING * doublings;
-        let mut order: Vec<(u32, std::cmp::Reverse<u64>, Key)> = self
-            .queued
-            .iter()
-            .map(|(key, queued)| (queued.sends, std::cmp::Reverse(queued.sequence), key.clone()))
-            .collect();
-        order.sort_unstable();
-        order.truncate(MAX_ITEMS);
-        order.into_iter().filter_map(|(_, _, key)| self.send(key, max_sends)).collect()
+        let turns: Vec<Turn> = self.items.keys().take(MAX_ITEMS).copied().collect();
+        turns.into_iter().filter_map(|turn| self.send(turn, max_sends)).collect()
     }
 
     /// Returns the number of changes that still have to be sent.
     pub fn len(&self) -> usize {
-        self.queued.len()
+        self.items.len()
     }
 
     /// Tells whether nothing has to be sent.
     pub fn is_empty(&self) -> bool {
-        self.queued.is_empty()
+        self.items.is_empty()
     }
 
-    fn send(&mut self, key: Key, max_sends: u32) -> Option<GossipItem> {
-        let queued = self.queued.get_mut(&key)?;
-        queued.sends += 1;
-        if queued.sends < max_sends {
-            return Some(queued.item.clone());
+    fn send(&mut self, turn: Turn, max_sends: u32) -> Option<GossipItem> {
+        let item = self.items.remove(&turn)?;
+        if turn.sends + 1 >= max_sends {
+            self.turns.remove(&item.key());
+            return Some(item);
         }
-        self.queued.remove(&key).map(|queued| queued.item)
+        let next = Turn { sends: turn.sends + 1, ..turn };
+        self.turns.insert(item.key(), next);
+        self.items.insert(next, item.clone());
+        Some(item)
     }
 }
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -67,6 +67,37 @@
     }
 }
 
+data_type! {
+    /// What travels of a member's state: a host that is not alive needs no facts.
+    pub struct MemberNews {
+        /// Name of the host.
+        pub host: HostName,
+        /// Incarnation that the state is about.
+        pub incarnation: Incarnation,
+        /// State.
+        pub state: MemberState,
+        /// What the host said of itself, if it is alive.
+        pub facts: Option<HostFacts>,
+    }
+}
+
+impl MemberNews {
+    /// Returns what travels of an update.
+    pub fn of(update: &MemberUpdate) -> MemberNews {
+        let facts = (update.state == MemberState::Alive).then(|| update.facts.clone());
+        let MemberUpdate { host, incarnation, state, .. } = update.clone();
+        MemberNews { host, incarnation, state, facts }
+    }
+
+    /// Returns the update, with the facts that are known already if the news has none;
+    /// `None` if there are neither.
+    pub fn to_update(&self, known: Option<&HostFacts>) -> Option<MemberUpdate> {
+        let facts = self.facts.as_ref().or(known)?.clone();
+        let MemberNews { host, incarnation, state, .. } = self.clone();
+        Some(MemberUpdate { host, incarnation, state, facts })
+    }
+}
+
 impl MemberUpdate {
     /// Tells whether this update replaces one about the same host.
     pub fn supersedes(&self, other: &MemberUpdate) -> bool {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -17,7 +17,9 @@
     WantedService,
 };
 pub use gossip::{GossipItem, GossipMessage, GossipQueue};
-pub use member::{HostFacts, Member, MemberState, MemberUpdate, UpstreamFacts, UpstreamState};
+pub use member::{
+    HostFacts, Member, MemberNews, MemberState, MemberUpdate, UpstreamFacts, UpstreamState,
+};
 pub use rendezvous::rank_by_rendezvous;
 pub use swim::{MemberAction, Membership, MembershipConfig, ProbeId};
 pub use sync::{BUCKETS, BucketDigests, SyncAnswer};
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use super::gossip::{GossipItem, GossipMessage, GossipQueue};
-use super::member::{HostFacts, Member, MemberState, MemberUpdate, UpstreamFacts};
+use super::member::{HostFacts, Member, MemberNews, MemberState, MemberUpdate, UpstreamFacts};
 use super::rendezvous::rank_by_rendezvous;
-use super::sync::{BucketDigests, SyncAnswer};
-use crate::collections::FastMap;
+use super::sync::{BUCKETS, BucketDigests, SyncAnswer};
+use crate::collections::{FastMap, FastSet};
 use crate::ids::{HostName, Incarnation};
 use crate::rng::Rng;
 use crate::time::Timestamp;
@@ -99,6 +99,8 @@
     indirect: bool,
 }
 
+/// Buckets that one answer to a synchronization brings.
+const BUCKETS_PER_SYNC: usize = 8;
 /// Differing digests in a row before a synchronization.
 const MISMATCHES_TO_SYNC: u32 = 4;
 /// Periods between two probes of a dead member, to notice a healed partition.
@@ -113,6 +115,8 @@
     host: HostName,
     members: FastMap<HostName, Member>,
     digests: BucketDigests,
+    live: usize,
+    suspects: FastSet<HostName>,
     gossip: GossipQueue,
     probes: FastMap<ProbeId, Probe>,
     round: Vec<HostName>,
@@ -141,6 +145,8 @@
             host: host.clone(),
             members: FastMap::default(),
             digests: BucketDigests::empty(),
+            live: 0,
+            suspects: FastSet::default(),
             gossip: GossipQueue::default(),
             probes: FastMap::default(),
             round: Vec::new(),
@@ -185,7 +191,7 @@
 
     /// Returns the number of live members, this node included.
     pub fn live_count(&self) -> usize {
-        self.members.values().filter(|member| member.is_live()).count()
+        self.live
     }
 
     /// Returns the live members that rank first for `key` by rendezvous hashing.
@@ -294,7 +300,7 @@
         let mut others = Vec::new();
         for item in &message.items {
             match item {
-                GossipItem::Member(update) => self.merge(now, update),
+                GossipItem::Member(news) => self.merge(now, news),
                 GossipItem::Quarantine(..) => others.push(item.clone()),
             }
         }
@@ -342,21 +348,30 @@
         &self.digests
     }
 
-    /// Answers a synchronization: the members of every bucket that differs.
+    /// Answers a synchronization: the members of buckets that differ.
+    ///
+    /// A node that knows next to nothing gets all; otherwise a few buckets an answer keep the
+    /// bytes small, and the next answers bring the rest.
     pub fn sync_answer(&self, digests: &BucketDigests) -> SyncAnswer {
-        let differs = |member: &&Member| {
-            let bucket = BucketDigests::bucket(&member.update.host);
-            self.digests.differs(digests, bucket)
-        };
-        let updates = self.members.values().filter(differs).map(|m| m.update.clone()).collect();
-        SyncAnswer { updates }
+        let joins = digests.0.iter().filter(|digest| **digest != 0).count() <= 1;
+        let most = if joins { BUCKETS } else { BUCKETS_PER_SYNC };
+        let first = self.periods as usize * BUCKETS_PER_SYNC;
+        let chosen: Vec<usize> = (0..BUCKETS)
+            .map(|i| (first + i) % BUCKETS)
+            .filter(|bucket| self.digests.differs(digests, *bucket))
+            .take(most)
+            .collect();
+        let is_chosen =
+            |member: &&Member| chosen.contains(&BucketDigests::bucket(&member.update.host));
+        let members = self.members.values().filter(is_chosen);
+        SyncAnswer { news: members.map(|member| MemberNews::of(&member.update)).collect() }
     }
 
     /// Takes in the answer to a synchronization.
     pub fn on_sync(&mut self, now: Timestamp, answer: &SyncAnswer) {
         self.mismatches = 0;
-        for update in &answer.updates {
-            self.merge(now, update);
+        for news in &answer.news {
+            self.merge(now, news);
         }
     }
 
@@ -484,8 +499,9 @@
 
     fn time_out_suspects(&mut self, now: Timestamp) {
         let mut dead: Vec<MemberUpdate> = self
-            .others()
-            .filter(|m| m.update.state == MemberState::Suspect)
+            .suspects
+            .iter()
+            .filter_map(|host| self.members.get(host))
             .filter(|m| now.since(m.changed) >= self.cfg.suspicion)
             .map(|m| MemberUpdate { state: MemberState::Dead, ..m.update.clone() })
             .collect();
@@ -513,25 +529,29 @@
             .collect();
         old.sort_unstable();
         for host in old {
-            if let Some(member) = self.members.remove(&host) {
-                self.digests.toggle(&member.update);
-            }
+            self.members.remove(&host);
         }
     }
 
-    fn merge(&mut self, now: Timestamp, update: &MemberUpdate) {
+    fn merge(&mut self, now: Timestamp, news: &MemberNews) {
+        let known = self.members.get(&news.host);
+        // News of a host that is not alive and not known needs no place.
+        let Some(update) = news.to_update(known.map(|member| &member.update.facts)) else {
+            return;
+        };
         if update.host == self.host {
-            self.refute(now, update);
+            self.refute(now, &update);
             return;
         }
-        match self.members.get(&update.host) {
-            Some(member) if update.supersedes(&member.update) => self.accept(now, update.clone()),
-            Some(member) if member.update.supersedes(update) => {
+        match known {
+            Some(member) if update.supersedes(&member.update) => self.accept(now, update),
+            Some(member) if member.update.supersedes(&update) => {
                 // The sender is behind: let the newer state travel again.
-                self.gossip.push(GossipItem::Member(member.update.clone()));
+                let news = MemberNews::of(&member.update);
+                self.gossip.push(GossipItem::Member(news));
             }
             Some(_) => {}
-            None => self.accept(now, update.clone()),
+            None => self.accept(now, update),
         }
     }
 
@@ -565,24 +585,38 @@
         match member.update.state {
             MemberState::Alive | MemberState::Left => {}
             MemberState::Suspect | MemberState::Dead => {
-                let update = member.update.clone();
-                self.gossip.push(GossipItem::Member(update));
+                let news = MemberNews::of(&member.update);
+                self.gossip.push(GossipItem::Member(news));
             }
         }
     }
 
     fn accept(&mut self, now: Timestamp, update: MemberUpdate) {
-        self.gossip.push(GossipItem::Member(update.clone()));
+        self.gossip.push(GossipItem::Member(MemberNews::of(&update)));
         self.store(now, update);
     }
 
     fn store(&mut self, now: Timestamp, update: MemberUpdate) {
-        let host = update.host.clone();
-        self.digests.toggle(&update);
-        let old = self.members.insert(host, Member { update, changed: now });
-        if let Some(old) = old {
-            self.digests.toggle(&old.update);
+        if let Some(old) = self.members.remove(&update.host) {
+            self.uncount(&old);
+        }
+        let member = Member { update, changed: now };
+        if member.is_live() {
+            self.live += 1;
+            self.digests.toggle(&member.update);
         }
+        if member.update.state == MemberState::Suspect {
+            self.suspects.insert(member.update.host.clone());
+        }
+        self.members.insert(member.update.host.clone(), member);
         self.changes += 1;
     }
+
+    fn uncount(&mut self, old: &Member) {
+        self.suspects.remove(&old.update.host);
+        if old.is_live() {
+            self.live -= 1;
+            self.digests.toggle(&old.update);
+        }
+    }
 }
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -1,6 +1,6 @@
 //! Digests by which two nodes find the members on which they differ.
 
-use super::member::MemberUpdate;
+use super::member::{MemberNews, MemberUpdate};
 use super::rendezvous::stable_hash;
 use crate::ids::HostName;
 
@@ -14,7 +14,7 @@
     /// Answer to a request for synchronization: the members of every bucket that differs.
     pub struct SyncAnswer {
         /// States known to the answering node.
-        pub updates: Vec<MemberUpdate>,
+        pub news: Vec<MemberNews>,
     }
 }
 
@@ -24,14 +24,14 @@
         BucketDigests(vec![0; BUCKETS])
     }
 
-    /// Adds or removes one state: the digest is an exclusive or, so both are the same.
+    /// Adds or removes one live member: the digest is an exclusive or, so both are the same.
+    ///
+    /// Only host and incarnation count: a suspicion that comes and goes is no difference, and
+    /// dead members are forgotten at different times.
     pub fn toggle(&mut self, update: &MemberUpdate) {
         let bucket = BucketDigests::bucket(&update.host);
-        self.0[bucket] ^= stable_hash(&[
-            update.host.as_str().as_bytes(),
-            &update.incarnation.0.to_le_bytes(),
-            &[update.state as u8],
-        ]);
+        self.0[bucket] ^=
+            stable_hash(&[update.host.as_str().as_bytes(), &update.incarnation.0.to_le_bytes()]);
     }
 
     /// Returns the digest of all buckets together.
--- a/crates/fuzzing/src/fleet/run.rs
+++ b/crates/fuzzing/src/fleet/run.rs
@@ -8,7 +8,9 @@
 };
 use snipehollow_core::class::{ClassPolicy, Rank};
 use snipehollow_core::ids::ClassName;
-use snipehollow_core::membership::{GossipItem, GossipMessage, MemberAction, MemberState, ProbeId};
+use snipehollow_core::membership::{
+    GossipItem, GossipMessage, MemberAction, MemberNews, MemberState, ProbeId, SyncAnswer,
+};
 use snipehollow_core::rng::Rng;
 use snipehollow_core::time::Timestamp;
 
@@ -23,8 +25,12 @@
 const FAN_OUT: usize = 3;
 /// Bytes of a message without its items, as JSON with its heads.
 const MESSAGE_BYTES: u64 = 560;
-/// Bytes of one gossiped state, as JSON.
-const ITEM_BYTES: u64 = 330;
+/// Bytes of the state of a live host, as JSON.
+const ALIVE_BYTES: u64 = 330;
+/// Bytes of the state of any other host, as JSON.
+const OTHER_BYTES: u64 = 100;
+/// Time between two looks at whether all agree after a heal.
+const AGREEMENT_STEP: Duration = Duration::from_millis(500);
 
 /// A change that is followed through the fleet.
 struct Followed {
@@ -50,6 +56,7 @@
     heads: Vec<ConfigDelta>,
     followed: Vec<Followed>,
     healed_at: Option<Timestamp>,
+    looked_at: Timestamp,
     report: FleetReport,
 }
 
@@ -81,6 +88,7 @@
             heads: Vec::new(),
             followed: Vec::new(),
             healed_at: None,
+            looked_at: Timestamp::ZERO,
             report: FleetReport::default(),
             plan,
         }
@@ -226,7 +234,7 @@
             }
             Body::Sync { own, digests } => {
                 let answer = self.hosts[to].membership.sync_answer(&digests);
-                let join = snipehollow_core::membership::SyncAnswer { updates: vec![own] };
+                let join = SyncAnswer { news: vec![MemberNews::of(&own)] };
                 self.hosts[to].membership.on_sync(self.now, &join);
                 self.send(to, from, Body::SyncAnswer(answer));
             }
@@ -368,6 +376,10 @@
         let Some(healed) = self.healed_at else {
             return;
         };
+        if self.now.since(self.looked_at) < AGREEMENT_STEP {
+            return;
+        }
+        self.looked_at = self.now;
         if self.check_agreement().is_ok() {
             self.report.convergence = Some(self.now.since(healed));
             self.healed_at = None;
@@ -395,7 +407,8 @@
         let truth = &self.hosts[other];
         let right = match (truth.alive, truth.left) {
             (true, false) => state == Some(MemberState::Alive),
-            (true, true) => state == Some(MemberState::Left),
+            // A host that joined after the leave need not know of it.
+            (true, true) => !matches!(state, Some(MemberState::Alive | MemberState::Suspect)),
             (false, _) => !matches!(state, Some(MemberState::Alive | MemberState::Suspect)),
         };
         check!(right, "host {index} holds host {other} for {state:?}");
@@ -429,17 +442,24 @@
     ConfigDelta { head, since: None, sections }
 }
 
+fn news_bytes(news: &MemberNews) -> u64 {
+    if news.facts.is_some() { ALIVE_BYTES } else { OTHER_BYTES }
+}
+
 fn bytes_of(body: &Body) -> u64 {
     let items = |message: &GossipMessage| {
-        let members = message.items.iter().filter(|i| matches!(i, GossipItem::Member(_))).count();
-        MESSAGE_BYTES + members as u64 * ITEM_BYTES
+        let news = message.items.iter().filter_map(|item| match item {
+            GossipItem::Member(news) => Some(news),
+            GossipItem::Quarantine(..) => None,
+        });
+        MESSAGE_BYTES + news.map(news_bytes).sum::<u64>()
     };
     match body {
         Body::Probe { message, .. }
         | Body::Answer { message, .. }
         | Body::ProbeVia { message, .. } => items(message),
         Body::Sync { digests, .. } => MESSAGE_BYTES + digests.0.len() as u64 * 21,
-        Body::SyncAnswer(answer) => MESSAGE_BYTES + answer.updates.len() as u64 * ITEM_BYTES,
+        Body::SyncAnswer(answer) => MESSAGE_BYTES + answer.news.iter().map(news_bytes).sum::<u64>(),
         Body::ConfigPull { .. } | Body::ConfigAnswer(None) => MESSAGE_BYTES,
         Body::ConfigAnswer(Some(delta)) => {
             let values: usize =
--- a/crates/node/src/control/rpc_server.rs
+++ b/crates/node/src/control/rpc_server.rs
@@ -6,7 +6,9 @@
 use jsonrpsee_server::{RegisterMethodError, RpcModule, ServerBuilder, ServerConfig, ServerHandle};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use snipehollow_core::membership::{DirectoryAnswer, GossipItem, GossipMessage, SyncAnswer};
+use snipehollow_core::membership::{
+    DirectoryAnswer, GossipItem, GossipMessage, MemberNews, SyncAnswer,
+};
 use snipehollow_wire::control::{
     self, ConfigAnswer, ConfigRequest, DirectoryRequest, Envelope, ProbeRequest, ProbeViaRequest,
     SyncRequest,
@@ -134,7 +136,7 @@
     let now = shared.clock.now();
     let mut control = shared.control();
     let answer = control.membership.sync_answer(&request.digests);
-    control.membership.on_sync(now, &SyncAnswer { updates: vec![request.own] });
+    control.membership.on_sync(now, &SyncAnswer { news: vec![MemberNews::of(&request.own)] });
     answer
 }
 
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -83,6 +83,7 @@
         pull_from_other_zone(shared);
     }
     publish(shared);
+    tell_members(shared);
 }
 
 /// Advances the gate's timers, planned stops and what the host tells the members.
@@ -284,7 +285,7 @@
     }
 }
 
-/// Puts a configuration in force and tells a few members at once.
+/// Puts a configuration in force.
 ///
 /// Returns false if it was not taken and the whole of it is needed.
 pub(crate) fn adopt(shared: &Arc<Shared>, delta: &ConfigDelta) -> bool {
@@ -299,25 +300,33 @@
         }
     }
     publish(shared);
+    // The store thread has no runtime to send from, so the next tick tells the members.
+    shared.untold_revision.store(true, Ordering::Release);
+    true
+}
+
+/// Tells a few members at once of a new revision; the others learn of it by gossip.
+fn tell_members(shared: &Arc<Shared>) {
+    if !shared.untold_revision.swap(false, Ordering::AcqRel) {
+        return;
+    }
     let addrs = {
         let mut guard = shared.control();
         let control = &mut *guard;
         control.membership.random_live(&mut control.rng, FAN_OUT)
     };
     for to in addrs {
-        let shared = Arc::clone(shared);
-        tokio::spawn(async move {
-            let message = shared.control().message();
-            let probe = ProbeRequest { message };
-            // A member that misses it learns of it by gossip.
-            let answer: Result<GossipMessage, RpcError> =
-                call(&shared, to, control::PROBE, probe).await;
-            if let Ok(message) = answer {
-                rpc_server::take_in(&shared, &message);
-            }
-        });
+        tokio::spawn(tell_member(Arc::clone(shared), to));
+    }
+}
+
+async fn tell_member(shared: Arc<Shared>, to: SocketAddr) {
+    let message = shared.control().message();
+    let answer: Result<GossipMessage, RpcError> =
+        call(&shared, to, control::PROBE, ProbeRequest { message }).await;
+    if let Ok(message) = answer {
+        rpc_server::take_in(&shared, &message);
     }
-    true
 }
 
 /// Lets a watcher learn the configuration from another zone, for a zone that is cut off from
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -31,6 +31,8 @@
     draining: AtomicBool,
     stopping: AtomicBool,
     entering: AtomicU32,
+    /// Whether a revision came into force that no member was told of.
+    pub(crate) untold_revision: AtomicBool,
     /// Whether a pull of the configuration is under way.
     pub(crate) pulling: AtomicBool,
     pub(crate) stop_notify: tokio::sync::Notify,
@@ -54,6 +56,7 @@
             draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             entering: AtomicU32::new(0),
+            untold_revision: AtomicBool::new(false),
             pulling: AtomicBool::new(false),
             stop_notify: tokio::sync::Notify::new(),
         })
--- a/crates/standins/src/mesh/processes.rs
+++ b/crates/standins/src/mesh/processes.rs
@@ -286,6 +286,17 @@
         }
     }
 
+    /// Returns the lines of all logs that contain a text.
+    pub fn log_lines(&self, text: &str) -> Result<Vec<String>, StandinError> {
+        let mut lines = Vec::new();
+        for host in &self.plan.hosts {
+            let path = self.dir.join(format!("{}.log", host.name));
+            let log = fs::read_to_string(&path).map_err(StandinError::io("read a log"))?;
+            lines.extend(log.lines().filter(|line| line.contains(text)).map(str::to_owned));
+        }
+        Ok(lines)
+    }
+
     /// Returns the folder of settings and logs.
     pub fn dir(&self) -> &Path {
         &self.dir
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -110,3 +110,14 @@
     let entry = mesh.plan.hosts[3].caller();
     assert!(Caller::new().get(entry, "/pricing/quote").is_ok());
 }
+
+/// The store thread panicked at each change, and the fifth one ended the watcher's process.
+#[test]
+fn configuration_many_changes_break_no_thread() {
+    let mesh = small_mesh();
+    for i in 1..=7 {
+        assert!(mesh.apply(&changed(7_000 + i)).unwrap().status.success());
+        mesh.wait_ready(u64::from(i) + 1).unwrap();
+    }
+    assert_eq!(mesh.log_lines("child failed").unwrap(), Vec::<String>::new());
+}
