--- /dev/null
+++ b/benches/src/bin/capacity.rs
@@ -0,0 +1,5 @@
+//! Prints the table of docs/CAPACITY.md.
+
+fn main() {
+    print!("{}", snipehollow_benches::capacity::table());
+}
--- /dev/null
+++ b/benches/src/bin/scenarios.rs
@@ -0,0 +1,188 @@
+//! Floods of one kind, a slow deep service, and kills under never-repeat load.
+
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use clap::Parser;
+use snipehollow_benches::sheets::{RankedClass, ranked, single_class};
+use snipehollow_standins::error::StandinError;
+use snipehollow_standins::load::{Kind, LoadConfig, LoadReport, Phase, run};
+use snipehollow_standins::mesh::{Mesh, MeshPlan, ServicePlan};
+use snipehollow_standins::upstream::Behaviour;
+use tokio::runtime::Runtime;
+
+/// Floods of one kind, a slow deep service, and kills under never-repeat load.
+#[derive(Parser)]
+struct Args {
+    /// Length of each load, in seconds.
+    #[arg(long, default_value_t = 6)]
+    seconds: u64,
+    /// Seed of arrivals and choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+const CLASSES: [RankedClass<'static>; 3] = [
+    RankedClass { name: "urgent", rank: 0, deadline_ms: 1_000, retries: 2 },
+    RankedClass { name: "normal", rank: 1, deadline_ms: 1_000, retries: 1 },
+    RankedClass { name: "bulk", rank: 2, deadline_ms: 2_000, retries: 0 },
+];
+const ORDER_SHEET: &str = "\
+kind,name,rank,deadline_ms,worth,repeat,retries,service,method,path,class,refusals\n\
+class,order,0,4000,10,never,2,,,,,\n\
+service,orders,,,,,,,,,,untrusted\n\
+rule,,,,,,,orders,*,/,order,\n";
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match measure(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("scenarios: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(args: &Args) -> Result<(), StandinError> {
+    let runtime = Runtime::new().map_err(StandinError::io("start the runtime"))?;
+    println!("{} s each, seed {}", args.seconds, args.seed);
+    println!("\nfloods: capacity 200/s, the flooding kind at 2000/s, the others at 40/s each");
+    for flooding in ["bulk", "urgent"] {
+        flood(&runtime, args, flooding, false)?;
+    }
+    flood(&runtime, args, "urgent", true)?;
+    println!("\nchain of four, the deepest four times slower, demand at its normal capacity");
+    for mode in ["full", "pass-through"] {
+        slow_chain(&runtime, args, mode)?;
+    }
+    println!("\norders by ticket at 100/s while two of four hosts are killed and come back");
+    kills(&runtime, args)
+}
+
+fn start(services: Vec<ServicePlan>, mode: &str, sheet: &str) -> Result<Mesh, StandinError> {
+    let mut plan = MeshPlan::new(&[("zone-a", "region-a")], services);
+    plan.run_settings.push_str(&format!("admission = {mode}\n"));
+    let mesh = Mesh::start(plan, &Mesh::find_bin()?)?;
+    mesh.apply(sheet)?;
+    mesh.wait_ready(1)?;
+    Ok(mesh)
+}
+
+fn load(
+    args: &Args,
+    targets: Vec<std::net::SocketAddr>,
+    rate: f64,
+    kinds: &[String],
+) -> LoadConfig {
+    LoadConfig {
+        targets,
+        phases: vec![Phase { rate, duration: Duration::from_secs(args.seconds) }],
+        kinds: kinds.iter().filter_map(|kind| Kind::parse(kind)).collect(),
+        hard_retries: 2,
+        seed: args.seed,
+    }
+}
+
+fn flood(
+    runtime: &Runtime,
+    args: &Args,
+    flooding: &str,
+    limited: bool,
+) -> Result<(), StandinError> {
+    let mut sheet = ranked(&["pricing"], &CLASSES);
+    if limited {
+        // Half of the capacity at each of the two gates.
+        sheet = sheet.replace(
+            "class,urgent,0,1000,1,may-repeat,2,,",
+            "class,urgent,0,1000,1,may-repeat,2,50,50",
+        );
+    }
+    let mesh = start(vec![ServicePlan::new("pricing", 2, 10, 100)], "full", &sheet)?;
+    let kinds: Vec<String> = CLASSES
+        .iter()
+        .map(|class| {
+            let share = if class.name == flooding { 2_000 } else { 40 };
+            format!("{0},GET,/pricing/{0},{share},{1}", class.name, class.deadline_ms)
+        })
+        .collect();
+    let report = runtime.block_on(run(&load(args, mesh.plan.callers(), 2_080.0, &kinds)));
+    let limit = if limited { ", rate limit 50/s a gate" } else { "" };
+    println!("flood of {flooding}{limit}: {}", good(&report));
+    Ok(())
+}
+
+fn good(report: &LoadReport) -> String {
+    let kind = |name: &str| {
+        report.kinds.get(name).map_or_else(String::new, |kind| {
+            format!("{name} {:.2}% of {}", kind.good_share() * 100.0, kind.requests)
+        })
+    };
+    format!("{}, {}, {}", kind("urgent"), kind("normal"), kind("bulk"))
+}
+
+fn slow_chain(runtime: &Runtime, args: &Args, mode: &str) -> Result<(), StandinError> {
+    let chain = vec![
+        ServicePlan::new("a", 2, 30, 5).with_call("/b/x"),
+        ServicePlan::new("b", 2, 30, 5).with_call("/c/x"),
+        ServicePlan::new("c", 2, 30, 5).with_call("/d/x"),
+        ServicePlan::new("d", 2, 5, 40),
+    ];
+    let mesh = start(chain, mode, &single_class(&["a", "b", "c", "d"], 1_000, 2))?;
+    let slow = Behaviour { slow_percent: 400, failing: false, leaving: false };
+    for host in mesh.plan.hosts.iter().filter(|host| host.name.starts_with("d-")) {
+        mesh.set_behaviour(host, &slow)?;
+    }
+    let entries: Vec<_> = mesh.plan.hosts.iter().take(2).map(|host| host.caller()).collect();
+    let kinds = ["any,GET,/a/x,1,1000".to_owned()];
+    let report = runtime.block_on(run(&load(args, entries, 250.0, &kinds)));
+    // Let what was given up end, so that it is counted.
+    thread::sleep(Duration::from_secs(1));
+    let mut deepest = 0;
+    for host in mesh.plan.hosts.iter().filter(|host| host.name.starts_with("d-")) {
+        deepest += mesh.upstream_stats(host)?.started;
+    }
+    let good = report.good();
+    let wasted = 100.0 * (deepest as f64 - good as f64) / deepest.max(1) as f64;
+    println!(
+        "{mode:<12} goodput {:.1}/s of a capacity of 62.5/s; deepest service ran {deepest}, \
+         of which wasted {wasted:.1}%",
+        good as f64 / args.seconds as f64
+    );
+    Ok(())
+}
+
+fn kills(runtime: &Runtime, args: &Args) -> Result<(), StandinError> {
+    let mut mesh = start(vec![ServicePlan::new("orders", 4, 20, 10)], "full", ORDER_SHEET)?;
+    let kinds = ["order,POST,/orders/new,1,4000,ticket".to_owned()];
+    let entries = mesh.plan.callers().split_off(2);
+    let cfg = load(args, entries, 100.0, &kinds);
+    let running = runtime.spawn(async move { run(&cfg).await });
+    for host in [0, 1] {
+        thread::sleep(Duration::from_secs(1));
+        mesh.kill_host(host);
+        thread::sleep(Duration::from_secs(1));
+        mesh.start_node(host)?;
+        mesh.start_upstream(host)?;
+    }
+    let report = runtime
+        .block_on(running)
+        .map_err(|err| StandinError::Invalid(format!("the load ended early: {err}")))?;
+    let mut duplicates = 0;
+    for host in &mesh.plan.hosts {
+        duplicates += mesh.upstream_stats(host)?.duplicates;
+    }
+    if let Some(orders) = report.kinds.get("order") {
+        println!(
+            "{} orders: {} good, {} not run, {} unknown ({:.2}%), {duplicates} run twice; {:?}",
+            orders.requests,
+            orders.good,
+            orders.not_run,
+            orders.unknown,
+            100.0 * orders.unknown as f64 / orders.requests.max(1) as f64,
+            orders.reasons
+        );
+    }
+    Ok(())
+}
--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -4,4 +4,5 @@
 //! the command and seed that made them.
 
 pub mod arms;
+pub mod capacity;
 pub mod sheets;
