--- a/benches/src/capacity.rs
+++ b/benches/src/capacity.rs
@@ -30,9 +30,9 @@
     /// Bytes that a node sends for one change of the configuration.
     pub(super) const BYTES_PER_CHANGE: f64 = 1_000.0;
     /// Share of a core for control, at one change in 1.2 s.
-    pub(super) const CONTROL_CORE_SHARE: f64 = 0.003;
+    pub(super) const CONTROL_CORE_SHARE: f64 = 0.003_3;
     /// Memory of a node that knows a few dozen members.
-    pub(super) const RESIDENT_BYTES: f64 = 9.6e6;
+    pub(super) const RESIDENT_BYTES: f64 = 9.7e6;
     /// Memory of one member: names, facts, tables.
     pub(super) const MEMBER_BYTES: f64 = 600.0;
     /// Memory of one section, stored and parsed.
--- a/crates/config/src/settings/bounds.rs
+++ b/crates/config/src/settings/bounds.rs
@@ -15,7 +15,8 @@
     pub max_answer_bytes: usize,
     /// Most connections of one face.
     pub max_connections: usize,
-    /// Time in which a request's head must be complete.
+    /// Time in which a request's head must be complete, and after which an idle connection is
+    /// closed.
     pub head_timeout: Duration,
     /// Time in which a request's body must be complete.
     pub body_timeout: Duration,
@@ -30,7 +31,7 @@
             max_body_bytes: 1 << 20,
             max_answer_bytes: 8 << 20,
             max_connections: 1_024,
-            head_timeout: Duration::from_secs(5),
+            head_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(10),
         }
     }
--- a/crates/config/src/settings/node.rs
+++ b/crates/config/src/settings/node.rs
@@ -196,8 +196,10 @@
     let max_body_bytes = size("body_bytes", 0..=1_073_741_824, default.max_body_bytes);
     let max_answer_bytes = size("answer_bytes", 1_024..=1_073_741_824, default.max_answer_bytes);
     let max_connections = size("connections", 1..=65_536, default.max_connections);
-    let head_timeout = size("head_timeout_ms", 10..=600_000, 5_000);
-    let body_timeout = size("body_timeout_ms", 10..=600_000, 10_000);
+    let head_timeout =
+        size("head_timeout_ms", 10..=600_000, default.head_timeout.as_millis() as usize);
+    let body_timeout =
+        size("body_timeout_ms", 10..=600_000, default.body_timeout.as_millis() as usize);
     Bounds {
         max_head_bytes,
         max_headers,
