Capacity: store calls by watcher

Cause: the row divided the measured 12.5 calls a change (5 by the commit, the rest by four watchers) by the wrong number. Change: both parts have a slope of their own.

--- a/benches/src/capacity.rs
+++ b/benches/src/capacity.rs
@@ -37,8 +37,10 @@
     pub(super) const MEMBER_BYTES: f64 = 600.0;
     /// Memory of one section, stored and parsed.
     pub(super) const SECTION_BYTES: f64 = 1_600.0;
-    /// Store calls of one commit, its readers included.
-    pub(super) const STORE_CALLS_PER_CHANGE: f64 = 12.0;
+    /// Store calls of one commit by the command line.
+    pub(super) const STORE_CALLS_PER_COMMIT: f64 = 5.0;
+    /// Store calls of one watcher for one change.
+    pub(super) const STORE_CALLS_PER_WATCHER: f64 = 1.9;
     /// Bytes of one directory pull that brings nothing new.
     pub(super) const DIRECTORY_PULL_BYTES: f64 = 700.0;
 }
@@ -68,8 +70,10 @@
     let memory = slope::RESIDENT_BYTES
         + members * slope::MEMBER_BYTES
         + target::SERVICES * slope::SECTION_BYTES;
-    let watches = target::ZONES * 2.0 * 0.2;
-    let store = changes * slope::STORE_CALLS_PER_CHANGE / 4.0 * target::ZONES + watches;
+    let watchers = target::ZONES * 2.0;
+    let per_change = slope::STORE_CALLS_PER_COMMIT + watchers * slope::STORE_CALLS_PER_WATCHER;
+    // A watch and a read every 10 s of each watcher, whatever changes.
+    let store = changes * per_change + watchers * 0.2;
     let mut table = String::from("| quantity | at the target | bound |\n| --- | --- | --- |\n");
     let mut row = |name: &str, value: String, bound: String| {
         // Writing to a String cannot fail.
