--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -5,13 +5,18 @@
 //! repair what gossip missed. [`Directory`] holds the hosts of called services in other
 //! zones, pulled from any member there, so that no role grows with the fleet.
 
+mod action;
+mod config;
 mod directory;
 mod gossip;
 mod member;
+mod probes;
 mod rendezvous;
 mod swim;
 mod sync;
 
+pub use action::{MemberAction, ProbeId};
+pub use config::MembershipConfig;
 pub use directory::{
     Directory, DirectoryAction, DirectoryAnswer, DirectoryConfig, DirectoryQuery, ServiceHosts,
     WantedService,
@@ -21,5 +26,5 @@
     HostFacts, Member, MemberNews, MemberState, MemberUpdate, UpstreamFacts, UpstreamState,
 };
 pub use rendezvous::rank_by_rendezvous;
-pub use swim::{MemberAction, Membership, MembershipConfig, ProbeId};
+pub use swim::Membership;
 pub use sync::{BUCKETS, BucketDigests, SyncAnswer};
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::action::{MemberAction, ProbeId};
+use super::config::MembershipConfig;
 use super::gossip::{GossipItem, GossipMessage, GossipQueue};
 use super::member::{HostFacts, Member, MemberNews, MemberState, MemberUpdate, UpstreamFacts};
+use super::probes::{Probe, Probes};
 use super::rendezvous::rank_by_rendezvous;
 use super::sync::{BUCKETS, BucketDigests, SyncAnswer};
 use crate::collections::{FastMap, FastSet};
@@ -12,85 +15,6 @@
 use crate::rng::Rng;
 use crate::time::Timestamp;
 
-key_type! {
-    /// Number of one probe.
-    pub struct ProbeId(pub u64);
-}
-
-/// Times of the protocol.
-#[derive(Clone, Debug)]
-pub struct MembershipConfig {
-    /// Time between two probes.
-    pub period: Duration,
-    /// Time after which a direct probe has failed.
-    pub probe_timeout: Duration,
-    /// Time after which the indirect probes have failed, from the start of the probe.
-    pub indirect_timeout: Duration,
-    /// Time in which a suspect may refute.
-    pub suspicion: Duration,
-    /// Time for which dead and left members are remembered.
-    pub retention: Duration,
-    /// Members asked to probe indirectly.
-    pub indirect_probes: usize,
-    /// Gap between two ticks that is taken as a pause of this process.
-    pub pause: Duration,
-    /// Least time between two synchronizations that this node starts.
-    pub sync_interval: Duration,
-}
-
-impl MembershipConfig {
-    /// Creates the default times: a probe a second, suspicion of three seconds.
-    pub fn new() -> MembershipConfig {
-        MembershipConfig {
-            period: Duration::from_secs(1),
-            probe_timeout: Duration::from_millis(300),
-            indirect_timeout: Duration::from_millis(800),
-            suspicion: Duration::from_secs(3),
-            retention: Duration::from_secs(600),
-            indirect_probes: 3,
-            pause: Duration::from_millis(1_500),
-            sync_interval: Duration::from_secs(5),
-        }
-    }
-}
-
-impl Default for MembershipConfig {
-    fn default() -> MembershipConfig {
-        MembershipConfig::new()
-    }
-}
-
-/// What the caller has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MemberAction {
-    /// Probe a member; report with `on_answer` or `on_probe_failed`.
-    Probe {
-        /// Number of the probe.
-        probe: ProbeId,
-        /// Address of the member.
-        to: SocketAddr,
-    },
-    /// Ask a member to probe another one; report an answer with `on_answer`.
-    ProbeVia {
-        /// Number of the probe.
-        probe: ProbeId,
-        /// Address of the member that is asked.
-        via: SocketAddr,
-        /// Address of the member to probe.
-        target: SocketAddr,
-    },
-    /// Send the bucket digests to a member and take in its answer with `on_sync`.
-    Sync {
-        /// Address of the member.
-        with: SocketAddr,
-    },
-    /// This process was paused: what it believed may be stale.
-    Resumed {
-        /// Length of the pause.
-        gap: Duration,
-    },
-}
-
 /// Where news comes from.
 ///
 /// What a synchronization brings is not spread again: others that lack it synchronize too,
@@ -101,14 +25,6 @@
     Sync,
 }
 
-#[derive(Clone, Debug)]
-struct Probe {
-    host: HostName,
-    addr: SocketAddr,
-    started: Timestamp,
-    indirect: bool,
-}
-
 /// Buckets that one answer to a synchronization brings.
 const BUCKETS_PER_SYNC: usize = 8;
 /// Differing digests in a row before a synchronization.
@@ -128,10 +44,9 @@
     live: usize,
     suspects: FastSet<HostName>,
     gossip: GossipQueue,
-    probes: FastMap<ProbeId, Probe>,
+    probes: Probes,
     round: Vec<HostName>,
     seeds: Vec<SocketAddr>,
-    next_probe: u64,
     periods: u64,
     next_period: Timestamp,
     last_tick: Option<Timestamp>,
@@ -158,10 +73,9 @@
             live: 0,
             suspects: FastSet::default(),
             gossip: GossipQueue::default(),
-            probes: FastMap::default(),
+            probes: Probes::default(),
             round: Vec::new(),
             seeds,
-            next_probe: 0,
             periods: 0,
             next_period: Timestamp::ZERO,
             last_tick: None,
@@ -327,20 +241,15 @@
         probe: ProbeId,
         message: &GossipMessage,
     ) -> Vec<GossipItem> {
-        self.probes.remove(&probe);
+        self.probes.answered(probe);
         self.on_message(now, message)
     }
 
     /// Records that a direct probe failed, before its timeout.
     pub fn on_probe_failed(&mut self, probe: ProbeId, rng: &mut Rng) -> Vec<MemberAction> {
-        let Some(state) = self.probes.get_mut(&probe) else {
+        let Some(Probe { host, addr: target, .. }) = self.probes.make_indirect(probe) else {
             return Vec::new();
         };
-        if state.indirect {
-            return Vec::new();
-        }
-        state.indirect = true;
-        let (host, target) = (state.host.clone(), state.addr);
         let mut helpers: Vec<SocketAddr> = self
             .others()
             .filter(|m| m.update.state == MemberState::Alive && m.update.host != host)
@@ -415,10 +324,7 @@
 
     fn probe(&mut self, now: Timestamp, host: &HostName) -> Option<MemberAction> {
         let to = self.members.get(host)?.update.facts.control;
-        let probe = ProbeId(self.next_probe);
-        self.next_probe += 1;
-        let state = Probe { host: host.clone(), addr: to, started: now, indirect: false };
-        self.probes.insert(probe, state);
+        let probe = self.probes.start(now, host, to);
         Some(MemberAction::Probe { probe, to })
     }
 
@@ -479,25 +385,12 @@
     }
 
     fn time_out_probes(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<MemberAction>) {
-        let mut direct: Vec<ProbeId> = Vec::new();
-        let mut failed: Vec<ProbeId> = Vec::new();
-        for (id, probe) in &self.probes {
-            let age = now.since(probe.started);
-            if age >= self.cfg.indirect_timeout {
-                failed.push(*id);
-            } else if age >= self.cfg.probe_timeout && !probe.indirect {
-                direct.push(*id);
-            }
-        }
-        direct.sort_unstable();
-        failed.sort_unstable();
-        for id in direct {
+        let timed_out = self.probes.time_out(now, &self.cfg);
+        for id in timed_out.direct {
             actions.extend(self.on_probe_failed(id, rng));
         }
-        for id in failed {
-            if let Some(probe) = self.probes.remove(&id) {
-                self.suspect(now, &probe.host);
-            }
+        for host in timed_out.failed {
+            self.suspect(now, &host);
         }
     }
 
