Membership: a node asks the member whose view differs

Synchronization waited for four differing digests in a row; a majority that lacked the host agreed with itself and reset the count. Ruled out: a lost answer and a wrong digest (printed views and counts). Change: the count is not reset by agreement, and the member asked is the one that differed, not a random one. Conclusion: the fault is gone; healing a cut inside a zone of 1000 hosts within 60 s stays open.

--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -27,7 +27,7 @@
 
 /// Buckets that one answer to a synchronization brings.
 const BUCKETS_PER_SYNC: usize = 8;
-/// Differing digests in a row before a synchronization.
+/// Differing digests since the last synchronization before another one.
 const MISMATCHES_TO_SYNC: u32 = 4;
 /// Periods between two probes of a dead member, to notice a healed partition.
 const DEAD_PROBE_PERIODS: u64 = 5;
@@ -52,6 +52,8 @@
     last_tick: Option<Timestamp>,
     last_sync: Option<Timestamp>,
     mismatches: u32,
+    /// Sender of the last message whose digest differed.
+    differing: Option<HostName>,
     changes: u64,
 }
 
@@ -81,6 +83,7 @@
             last_tick: None,
             last_sync: None,
             mismatches: 0,
+            differing: None,
             changes: 0,
         };
         let update = MemberUpdate { host, incarnation, state: MemberState::Alive, facts };
@@ -229,8 +232,11 @@
             }
         }
         self.tell_if_held_dead(&message.from);
-        let differs = message.digest != self.digests.total();
-        self.mismatches = if differs { self.mismatches + 1 } else { 0 };
+        if message.digest != self.digests.total() {
+            // Agreement with others does not count against it: a minority may know more.
+            self.mismatches += 1;
+            self.differing = Some(message.from.clone());
+        }
         others
     }
 
@@ -377,7 +383,12 @@
         if self.mismatches < MISMATCHES_TO_SYNC || recent {
             return;
         }
-        for with in self.random_live(rng, 1) {
+        let differing = self.differing.take().and_then(|host| self.members.get(&host));
+        let with = match differing.filter(|member| member.is_live()) {
+            Some(member) => Some(member.update.facts.control),
+            None => self.random_live(rng, 1).first().copied(),
+        };
+        if let Some(with) = with {
             self.last_sync = Some(now);
             self.mismatches = 0;
             actions.push(MemberAction::Sync { with });
--- a/crates/fuzzing/tests/decisions.rs
+++ b/crates/fuzzing/tests/decisions.rs
@@ -97,3 +97,9 @@
         check_fleet(&FleetPlan::random(seed)).unwrap();
     }
 }
+
+/// Most members lacked one that a few knew, and agreeing with each other they never asked.
+#[test]
+fn fleet_seeds_of_faults() {
+    check_fleet(&FleetPlan::random(700_095)).unwrap();
+}
