Mutations that build, an oracle that offers older configurations

Cause: the mutation script counted what did not build as noticed and built restored files from a stale state; run soundly, one mutation (lower revision taken) was not noticed, because the callers never offer one. Change: the script rules both out; the store oracle offers each node the older configuration of others.

--- a/crates/fuzzing/src/oracles/store.rs
+++ b/crates/fuzzing/src/oracles/store.rs
@@ -296,6 +296,7 @@
 
     fn pull(&mut self, node: usize, from: usize) -> Result<(), Violation> {
         let since = self.nodes[node].revision();
+        self.offer_older(node, from)?;
         let Some(delta) = self.nodes[from].delta_since(since) else {
             return Ok(());
         };
@@ -308,6 +309,19 @@
         Ok(())
     }
 
+    /// Offers all of a node's configuration to one that has a newer one.
+    fn offer_older(&mut self, node: usize, from: usize) -> Result<(), Violation> {
+        let before = self.nodes[node].revision();
+        let Some(older) = self.nodes[from].delta_since(0) else {
+            return Ok(());
+        };
+        if older.head.revision < before {
+            let taken = self.nodes[node].apply(&older).is_ok();
+            check!(!taken, "node {node} fell from revision {before}");
+        }
+        Ok(())
+    }
+
     fn adopt(
         &mut self,
         node: usize,
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -16,6 +16,9 @@
     if cmp -s "$file" "$file.kept"; then
         echo "$name: the code to break was not found"
         missed=$((missed + 1))
+    elif ! (cd "$copy" && cargo test -q -p snipehollow-fuzzing --test decisions --no-run) >"$copy/log" 2>&1; then
+        echo "$name: does not build"
+        missed=$((missed + 1))
     elif (cd "$copy" && cargo test -q -p snipehollow-fuzzing --test decisions) >"$copy/log" 2>&1; then
         echo "$name: NOT noticed"
         missed=$((missed + 1))
@@ -23,6 +26,8 @@
         echo "$name: noticed by $(grep -oE '^    [a-z_]+$' "$copy/log" | sort -u | tr -s ' \n' ' ')"
     fi
     mv "$file.kept" "$file"
+    # A file that looks older than the last build would not be built again.
+    touch "$file"
 }
 
 core=crates/core/src
@@ -39,9 +44,8 @@
     "grant.held.0 -= loan.0;" "grant.held.0 -= 0;"
 mutate "retry not counted" $core/retry/allowance.rs \
     "self.kept.0 -= 1;" "self.kept.0 -= 0;"
-mutate "claim not recorded" $core/ticket/book.rs \
-    "let replaced = self.records.insert(serial, record);" \
-    "self.history.set(serial, SerialState::Unused); let replaced: Option<Record<A>> = None; drop(record);"
+mutate "claimed request run again" $core/ticket/book.rs \
+    "Progress::Running => Presented::Join(serial)" "Progress::Running => Presented::Run(serial)"
 mutate "ticket of an earlier start accepted" $core/ticket/book.rs \
     "ticket.host != self.host || ticket.start != self.start" "ticket.host != self.host"
 mutate "every candidate of a crash convicted" $core/quarantine.rs \
