One place for usable slots and for control message sizes

Cause: the rule for usable slots stood in two files of the node, and the sizes of control messages in client and server. Change: each stands once; behaviour unchanged.

--- a/crates/node/src/control/rpc_client.rs
+++ b/crates/node/src/control/rpc_client.rs
@@ -17,9 +17,9 @@
 /// Time in which another node must answer a control message.
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Most bytes of an answer; a whole configuration fits.
-const MAX_ANSWER_BYTES: u32 = 8 << 20;
+pub(super) const MAX_ANSWER_BYTES: u32 = 8 << 20;
 /// Bytes counted for the head of a request or an answer.
-const HEAD_BYTES: usize = 160;
+pub(super) const HEAD_BYTES: usize = 160;
 
 /// {0}
 #[derive(Clone, Debug, Display)]
--- a/crates/node/src/control/rpc_server.rs
+++ b/crates/node/src/control/rpc_server.rs
@@ -14,7 +14,7 @@
     SyncRequest,
 };
 
-use super::rpc_client::{self, encoded_len};
+use super::rpc_client::{self, HEAD_BYTES, MAX_ANSWER_BYTES, encoded_len};
 use super::thread;
 use crate::NodeError;
 use crate::shared::Shared;
@@ -22,11 +22,7 @@
 
 /// Most bytes of a control message.
 const MAX_REQUEST_BYTES: u32 = 1 << 20;
-/// Most bytes of an answer; a whole configuration fits.
-const MAX_ANSWER_BYTES: u32 = 8 << 20;
 const MAX_CONNECTIONS: u32 = 512;
-/// Bytes counted for the head of a request or an answer.
-const HEAD_BYTES: usize = 160;
 const FORBIDDEN: i32 = -32_001;
 const FAILED: i32 = -32_002;
 
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -22,7 +22,7 @@
 use super::repeats::RepeatBook;
 use super::tickets::TicketEnd;
 use super::tries::GateWord;
-use super::upstream::LocalUpstream;
+use super::upstream::{LocalUpstream, usable_slots};
 use crate::snapshot::Snapshot;
 use crate::traffic::Answer;
 
@@ -201,7 +201,7 @@
             self.upstream_lost(now);
             self.upstream = Some(LocalUpstream::new(self.gate_cfg.clone(), now, announcement));
         }
-        let slots = announcement.upstream.slots.min(announcement.connections).max(1);
+        let slots = usable_slots(announcement);
         let stopped = self.stopped;
         let upstream = self.upstream.as_mut()?;
         upstream.renew(now, announcement);
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -24,8 +24,7 @@
         now: Timestamp,
         announcement: &Announcement,
     ) -> LocalUpstream {
-        // More requests at once than connections would wait inside the client.
-        let slots = announcement.upstream.slots.min(announcement.connections).max(1);
+        let slots = usable_slots(announcement);
         LocalUpstream {
             gate: Gate::new(cfg, slots),
             facts: announcement.upstream.clone(),
@@ -52,6 +51,11 @@
     }
 }
 
+/// Returns the requests that may run at once: more than connections would wait in the client.
+pub(super) fn usable_slots(announcement: &Announcement) -> u32 {
+    announcement.upstream.slots.min(announcement.connections).max(1)
+}
+
 fn ttl(announcement: &Announcement) -> Duration {
     Duration::from_millis(u64::from(announcement.ttl_ms))
 }
