Shed by the demand that gates meet; levels of the services that a tree reaches

The log shows why: the level is raised by a wait, a second late, is averaged once a hop on its way up, and is not heard at all by a node whose calls time out (level 0.012 at an entry while the gate said 0.95). Then trees that were let in too many time out after their work. Beside it a class without calls was blamed for those of another, from counts of starts.

Change: the gate's demand in slot time decides, corrected by the share that was let in when it was; levels of services are heard from any answer; call factors from time in flight.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -444,7 +444,8 @@
         Duration::from_micros(micros as u64)
     }
 
-    fn class_time(&self, class: &ClassName) -> Duration {
+    /// Returns the time for which a request of a class is expected to hold a slot.
+    pub fn class_time(&self, class: &ClassName) -> Duration {
         match self.class_times.get(class).and_then(Ewma::get) {
             Some(micros) => Duration::from_micros(micros as u64),
             None => self.mean_time(),
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,6 +15,6 @@
 pub use gate::{Action, Arrival, Completion, Gate, GateConfig, GateStats};
 pub use level::LoadLevel;
 pub use limit::{AdaptiveLimit, LimitConfig, LimitSample};
-pub use pressure::{ClassPressure, PressureMeter, TreePressure};
+pub use pressure::{PressureMeter, ReportedLevel, TreePressure, admitted_share};
 pub use queue::{Priority, RankedQueue, Tier, Waiting};
 pub use rate::TokenBucket;
--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -6,125 +6,200 @@
 use crate::ewma::Ewma;
 use crate::time::Timestamp;
 
-/// Wait for a slot above which work is shed: a third of the target latency of the quickest
-/// deep calls that are known.
-const WAIT_HIGH: f64 = 0.12;
-/// Wait for a slot below which shed work is let in again.
-const WAIT_LOW: f64 = 0.04;
-/// Largest excess of the wait that counts, as a multiple of [`WAIT_HIGH`].
+/// Share of the slots that admitted work is meant to fill.
+const TARGET_FILL: f64 = 0.95;
+/// Wait for a slot that is not worth shedding for; a call tree of the sites waits some eight
+/// times in a row within 1.5 s.
+const WAIT_ALLOWED: f64 = 0.05;
+/// Time in which a longer wait is worked off.
+const DRAIN_TIME: f64 = 1.0;
+/// Least fill that is aimed at while a wait is worked off.
+const MIN_FILL: f64 = 0.5;
+/// Share of the target that the demand counts for at most while nobody waits.
+const CALM_DEMAND: f64 = 0.8;
+/// Time over which demand is averaged: a few hundred calls at a gate.
+const DEMAND_TIME: f64 = 0.25;
+/// Time after which a published level shows in the demand: levels travel up a call tree in
+/// about 0.3 s, and a tree that was let in makes calls for about 0.6 s.
+const EFFECT_TIME: f64 = 0.7;
+/// Share of an excess that one [`EFFECT_TIME`] corrects.
+const GAIN_DOWN: f64 = 0.7;
+/// Share of unused room that one [`EFFECT_TIME`] gives back.
+const GAIN_UP: f64 = 1.0;
+/// Least share of the lower ranks that is let in, to notice that demand fell.
+const PROBE_SHARE: f64 = 0.02;
+/// Wait for a slot at which the most urgent rank is shed too, once nothing else is left.
+const WAIT_URGENT: f64 = 0.12;
+/// Rise a second of the most urgent rank's share, for a wait of twice [`WAIT_URGENT`].
+const URGENT_RISE: f64 = 0.25;
+/// Fall a second of the most urgent rank's share.
+const URGENT_FALL: f64 = 0.6;
+/// Largest excess of the wait that counts, as a multiple of [`WAIT_URGENT`].
 const EXCESS_MAX: f64 = 2.0;
-/// Weight of one sample in the wait.
-const WAIT_WEIGHT: f64 = 0.3;
-/// Rise a second for an excess of 1; half of all work is shed after about a second of the
-/// largest excess, the time that a request of a deep tree takes to leave it.
-const RISE: f64 = 0.25;
-/// Fall a second without any wait.
-const FALL: f64 = 0.6;
 /// Level at which all but the most urgent rank is shed.
 const LOWER_RANKS_SHED: f64 = 1.0;
-/// Highest level: everything is shed but probes.
-const LEVEL_MAX: f64 = 1.9;
-/// Share of requests that are let in whatever the level, to notice that it fell.
-const PROBE_SHARE: f64 = 0.02;
+/// Largest share of the most urgent rank that is shed.
+const URGENT_SHED_MAX: f64 = 0.9;
 /// Time in which a level that nobody reported again shrinks to a third.
-const FADE: Duration = Duration::from_secs(3);
+const FADE: Duration = Duration::from_millis(1_500);
 
-/// Integrates the load of one gate into the share of work that has to be shed above it.
-#[derive(Clone, Debug, Default)]
+/// Finds the share of work to shed so that demand fits the slots of one gate.
+///
+/// The demand is known as it arrives, before it has become a wait, and what arrives now was
+/// let in under the levels of [`EFFECT_TIME`] ago: the share let in then, times what fits,
+/// by what came, is the share to let in now.
+#[derive(Clone, Debug)]
 pub struct PressureMeter {
-    level: f64,
-    wait: Ewma,
+    offered: f64,
+    demand: Ewma,
+    admitted: f64,
+    admitted_before: f64,
+    urgent_shed: f64,
     updated: Option<Timestamp>,
 }
 
+impl Default for PressureMeter {
+    fn default() -> PressureMeter {
+        PressureMeter {
+            offered: 0.0,
+            demand: Ewma::default(),
+            admitted: 1.0,
+            admitted_before: 1.0,
+            urgent_shed: 0.0,
+            updated: None,
+        }
+    }
+}
+
 impl PressureMeter {
-    /// Takes in the wait for a slot that an arrival meets.
-    pub fn sample(&mut self, now: Timestamp, wait: Duration) {
-        let passed = self.updated.map_or(0.0, |at| now.since(at).as_secs_f64()).min(1.0);
-        self.updated = Some(now);
-        self.wait.add(wait.as_secs_f64(), WAIT_WEIGHT);
-        let wait = self.wait.get().unwrap_or(0.0);
-        if wait > WAIT_HIGH {
-            self.level += RISE * passed * (wait / WAIT_HIGH - 1.0).min(EXCESS_MAX);
-        } else if wait < WAIT_LOW {
-            self.level -= FALL * passed * (1.0 - wait / WAIT_LOW);
+    /// Takes in an arrival that is expected to hold a slot for this time.
+    pub fn offer(&mut self, slot_time: Duration) {
+        self.offered += slot_time.as_secs_f64();
+    }
+
+    /// Ends a period: the gate has this many slots, and an arrival meets this wait for one.
+    pub fn sample(&mut self, now: Timestamp, slots: u32, wait: Duration) {
+        let offered = std::mem::take(&mut self.offered);
+        let Some(before) = self.updated.replace(now) else {
+            return;
+        };
+        let passed = now.since(before).as_secs_f64().clamp(0.001, 1.0);
+        let demand = offered / (f64::from(slots.max(1)) * passed);
+        self.demand.add(demand, weight(passed, DEMAND_TIME));
+        self.adjust(passed, wait.as_secs_f64());
+    }
+
+    fn adjust(&mut self, passed: f64, wait: f64) {
+        let target = (TARGET_FILL - (wait - WAIT_ALLOWED).max(0.0) / DRAIN_TIME).max(MIN_FILL);
+        let demand = self.demand.get().unwrap_or(0.0).max(0.01);
+        let demand = if wait < WAIT_ALLOWED { demand.min(CALM_DEMAND * target) } else { demand };
+        let gain = if demand > target { GAIN_DOWN } else { GAIN_UP };
+        let wanted = self.admitted_before * (target / demand).powf(gain);
+        self.admitted = wanted.clamp(PROBE_SHARE, 1.0);
+        self.admitted_before +=
+            weight(passed, EFFECT_TIME) * (self.admitted - self.admitted_before);
+        let excess = (wait / WAIT_URGENT - 1.0).min(EXCESS_MAX);
+        if self.admitted <= PROBE_SHARE && excess > 0.0 {
+            self.urgent_shed += URGENT_RISE * passed * excess;
+        } else {
+            self.urgent_shed -= URGENT_FALL * passed;
         }
-        self.level = self.level.clamp(0.0, LEVEL_MAX);
+        self.urgent_shed = self.urgent_shed.clamp(0.0, URGENT_SHED_MAX);
     }
 
     /// Returns the level: up to 1 the share of the lower ranks to shed, above 1 also the
     /// share of the most urgent.
     pub fn level(&self) -> f64 {
-        self.level
+        if self.urgent_shed > 0.0 {
+            LOWER_RANKS_SHED + self.urgent_shed
+        } else {
+            1.0 - self.admitted
+        }
+    }
+
+    /// Returns the demand as a multiple of the slots.
+    pub fn demand(&self) -> f64 {
+        self.demand.get().unwrap_or(0.0)
     }
 }
 
+/// Returns the weight of a sample over a period in an average over a time, both in seconds.
+fn weight(period: f64, time: f64) -> f64 {
+    1.0 - (-period / time).exp()
+}
+
 data_type! {
     /// What a gate says of a class with its answer.
     #[derive(Copy, Default)]
     pub struct TreePressure {
         /// Highest level of the gates that requests of the class reach, in thousandths.
         pub level_milli: u16,
+        /// Level of the gate itself, in thousandths.
+        pub gate_milli: u16,
         /// Whether requests of the class begin a call tree.
         pub is_root: bool,
     }
 }
 
 impl TreePressure {
-    /// Creates the pressure of a class.
-    pub fn new(level: f64, is_root: bool) -> TreePressure {
-        TreePressure { level_milli: (level * 1_000.0) as u16, is_root }
+    /// Creates the pressure of a class from the levels of the gate and of those below it.
+    pub fn new(gate: f64, below: f64, is_root: bool) -> TreePressure {
+        let milli = |level: f64| (level * 1_000.0) as u16;
+        TreePressure { level_milli: milli(gate.max(below)), gate_milli: milli(gate), is_root }
     }
 
-    /// Reads the header form, `LEVEL/root` or `LEVEL/inner`.
+    /// Reads the header form, `LEVEL/GATE/root` or `LEVEL/GATE/inner`.
     pub fn parse(text: &str) -> Option<TreePressure> {
-        let (level, place) = text.split_once('/')?;
-        Some(TreePressure { level_milli: level.parse().ok()?, is_root: place == "root" })
+        let mut fields = text.split('/');
+        let level_milli = fields.next()?.parse().ok()?;
+        let gate_milli = fields.next()?.parse().ok()?;
+        let is_root = match fields.next()? {
+            "root" => true,
+            "inner" => false,
+            _ => return None,
+        };
+        fields.next().is_none().then_some(TreePressure { level_milli, gate_milli, is_root })
     }
 }
 
 impl std::fmt::Display for TreePressure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let place = if self.is_root { "root" } else { "inner" };
-        write!(f, "{}/{place}", self.level_milli)
+        write!(f, "{}/{}/{place}", self.level_milli, self.gate_milli)
     }
 }
 
-/// What an entry knows of a class's pressure.
+/// A level that answers report, averaged over the gates that they come from.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ClassPressure {
+pub struct ReportedLevel {
     level: Ewma,
     updated: Timestamp,
-    is_root: bool,
 }
 
-/// Weight of one answer in the level of a class.
-const ANSWER_WEIGHT: f64 = 0.2;
+/// Time over which the levels that answers report are averaged.
+const ANSWER_TIME: f64 = 0.05;
+/// Least weight of one answer: answers of several gates come in turns.
+const MIN_ANSWER_WEIGHT: f64 = 0.05;
 
-impl ClassPressure {
-    /// Takes in what an answer says.
-    pub fn report(&mut self, now: Timestamp, pressure: TreePressure) {
-        self.level.add(f64::from(pressure.level_milli) / 1_000.0, ANSWER_WEIGHT);
+impl ReportedLevel {
+    /// Takes in a level, in thousandths.
+    pub fn report(&mut self, now: Timestamp, milli: u16) {
+        let period = now.since(self.updated).as_secs_f64();
+        let weight = weight(period, ANSWER_TIME).max(MIN_ANSWER_WEIGHT);
+        self.level.add(f64::from(milli) / 1_000.0, weight);
         self.updated = now;
-        self.is_root |= pressure.is_root;
     }
 
     /// Returns the level; it fades while no answer reports it.
-    pub fn level(&self, now: Timestamp) -> f64 {
+    pub fn get(&self, now: Timestamp) -> f64 {
         let age = now.since(self.updated).as_secs_f64();
         self.level.get().unwrap_or(0.0) * (-age / FADE.as_secs_f64()).exp()
     }
+}
 
-    /// Returns the share of requests of a rank to admit, from 0 to 1.
-    ///
-    /// A call inside a tree is always admitted: refusing it would waste the work above it.
-    pub fn admitted_share(&self, now: Timestamp, rank: Rank) -> f64 {
-        if !self.is_root {
-            return 1.0;
-        }
-        let level = self.level(now);
-        let share =
-            if rank == Rank(0) { 1.0 - (level - LOWER_RANKS_SHED).max(0.0) } else { 1.0 - level };
-        share.clamp(PROBE_SHARE, 1.0)
-    }
+/// Returns the share of a rank's requests to let in at a level, from 0 to 1.
+pub fn admitted_share(level: f64, rank: Rank) -> f64 {
+    let share =
+        if rank == Rank(0) { 1.0 - (level - LOWER_RANKS_SHED).max(0.0) } else { 1.0 - level };
+    share.clamp(PROBE_SHARE, 1.0)
 }
--- a/crates/core/src/callgraph.rs
+++ b/crates/core/src/callgraph.rs
@@ -1,9 +1,9 @@
 //! Calls that an upstream makes while it runs requests of each class.
 //!
 //! A call is not tied to the request that it is made for, so the factors are estimated from
-//! counts: over many short windows, the calls of each kind are explained by the runs of each
-//! class with the least squared error. Of each factor the lower end of its confidence interval
-//! is given, so that what may be chance counts as no call.
+//! counts: over many short windows, the calls of each kind are explained by the time that
+//! runs of each class were in flight, with the least squared error. Of each factor the lower
+//! end of its confidence interval is given, so that what may be chance counts as no call.
 
 use std::time::Duration;
 
@@ -11,33 +11,59 @@
 use crate::ids::ClassName;
 use crate::time::Timestamp;
 
-/// Length of a window: longer than most runs take to make their calls.
-const WINDOW: Duration = Duration::from_millis(500);
-/// Share of the older windows that is kept with each new one; half is forgotten in 35 s.
-const KEPT: f64 = 0.99;
+/// Length of a window.
+const WINDOW: Duration = Duration::from_millis(200);
+/// Share of the older windows that is kept with each new one; a third is left after 30 s.
+const KEPT: f64 = 0.9933;
 /// Standard errors between a factor and the lower end that is given.
 const ERRORS: f64 = 2.0;
-/// Windows before which no factor is given.
-const MIN_WINDOWS: f64 = 8.0;
+/// Windows before which every class counts as making every call.
+const MIN_WINDOWS: f64 = 20.0;
 /// Most classes of runs, and most kinds of calls, that are told apart.
 const MAX_CLASSES: usize = 32;
 
+/// Runs of one class.
+#[derive(Clone, Debug)]
+struct Runs {
+    class: ClassName,
+    in_flight: u32,
+    /// Time in flight of all its runs in this window, in seconds.
+    window: f64,
+    /// The same over all windows, and the runs that ended in it.
+    seconds: f64,
+    ended: f64,
+}
+
+impl Runs {
+    fn new(class: &ClassName) -> Runs {
+        Runs { class: class.clone(), in_flight: 0, window: 0.0, seconds: 0.0, ended: 0.0 }
+    }
+}
+
+/// Calls of one kind.
+#[derive(Clone, Debug)]
+struct Calls {
+    class: ClassName,
+    /// Calls in this window.
+    window: f64,
+    /// Sums over windows of products of times in flight and calls.
+    products: Vec<f64>,
+    /// Sum over windows of squared calls.
+    square: f64,
+}
+
 /// Estimates how many calls of each kind one run of each class makes.
 #[derive(Clone, Debug, Default)]
 pub struct CallFactors {
-    runs: Vec<ClassName>,
-    calls: Vec<ClassName>,
-    window_runs: Vec<f64>,
-    window_calls: Vec<f64>,
-    /// Sums over windows of products of run counts.
+    runs: Vec<Runs>,
+    calls: Vec<Calls>,
+    /// Sums over windows of products of times in flight.
     squares: Vec<Vec<f64>>,
-    /// Sums over windows of products of run counts and call counts, by call.
-    products: Vec<Vec<f64>>,
-    /// Sums over windows of squared call counts.
-    call_squares: Vec<f64>,
     /// Windows that the sums stand for.
     windows: f64,
     factors: FastMap<ClassName, Vec<(ClassName, f64)>>,
+    is_known: bool,
+    updated: Timestamp,
     window_ends: Timestamp,
 }
 
@@ -48,80 +74,128 @@
     }
 
     /// Records that the upstream started a run.
-    pub fn run_started(&mut self, class: &ClassName) {
-        let Some(i) = index_of(&mut self.runs, class) else {
-            return;
-        };
-        if i == self.window_runs.len() {
-            self.window_runs.push(0.0);
-            self.squares.iter_mut().for_each(|row| row.push(0.0));
-            self.squares.push(vec![0.0; i + 1]);
-            self.products.iter_mut().for_each(|row| row.push(0.0));
+    pub fn run_started(&mut self, now: Timestamp, class: &ClassName) {
+        self.advance(now);
+        if let Some(i) = self.place_of_runs(class) {
+            self.runs[i].in_flight += 1;
+        }
+    }
+
+    /// Records that a run ended.
+    pub fn run_ended(&mut self, now: Timestamp, class: &ClassName) {
+        self.advance(now);
+        let runs = self.runs.iter_mut().find(|runs| runs.class == *class && runs.in_flight > 0);
+        if let Some(runs) = runs {
+            runs.in_flight -= 1;
+            runs.ended += 1.0;
         }
-        self.window_runs[i] += 1.0;
     }
 
     /// Records a call that arrived from the host of the upstream.
-    pub fn call_made(&mut self, class: &ClassName) {
-        let Some(j) = index_of(&mut self.calls, class) else {
+    pub fn call_made(&mut self, now: Timestamp, class: &ClassName) {
+        self.advance(now);
+        if let Some(calls) = self.calls.iter_mut().find(|calls| calls.class == *class) {
+            calls.window += 1.0;
             return;
-        };
-        if j == self.window_calls.len() {
-            self.window_calls.push(0.0);
-            self.products.push(vec![0.0; self.runs.len()]);
-            self.call_squares.push(0.0);
         }
-        self.window_calls[j] += 1.0;
+        let products = vec![0.0; self.runs.len()];
+        let calls = Calls { class: class.clone(), window: 1.0, products, square: 0.0 };
+        if self.calls.len() < MAX_CLASSES {
+            self.calls.push(calls);
+        } else if let Some(rarest) =
+            self.calls.iter_mut().min_by(|a, b| a.square.total_cmp(&b.square))
+        {
+            *rarest = calls;
+        }
     }
 
-    /// Ends the window if its time is over.
-    pub fn tick(&mut self, now: Timestamp) {
-        if now < self.window_ends {
-            return;
+    /// Returns the calls that one run of a class makes on average, at least; one of each kind
+    /// while there are too few observations to tell the classes apart.
+    pub fn of(&self, class: &ClassName) -> Vec<(&ClassName, f64)> {
+        if self.is_known {
+            let factors = self.factors.get(class).map_or(&[][..], Vec::as_slice);
+            return factors.iter().map(|(call, factor)| (call, *factor)).collect();
+        }
+        self.calls.iter().map(|calls| (&calls.class, 1.0)).collect()
+    }
+
+    /// Returns the place of a class of runs, adding it; if there are too many, that of the
+    /// rarest class without a run is taken over. `None` if all are in flight.
+    fn place_of_runs(&mut self, class: &ClassName) -> Option<usize> {
+        if let Some(i) = self.runs.iter().position(|runs| runs.class == *class) {
+            return Some(i);
         }
-        self.window_ends = now + WINDOW;
-        if self.window_runs.iter().all(|count| *count == 0.0) {
-            self.window_calls.fill(0.0);
+        let runs = Runs::new(class);
+        if self.runs.len() < MAX_CLASSES {
+            self.runs.push(runs);
+            self.squares.iter_mut().for_each(|row| row.push(0.0));
+            self.squares.push(vec![0.0; self.runs.len()]);
+            self.calls.iter_mut().for_each(|calls| calls.products.push(0.0));
+            return Some(self.runs.len() - 1);
+        }
+        let idle = self.runs.iter().enumerate().filter(|(_, runs)| runs.in_flight == 0);
+        let (i, _) = idle.min_by(|(_, a), (_, b)| a.seconds.total_cmp(&b.seconds))?;
+        self.runs[i] = runs;
+        self.squares[i].fill(0.0);
+        self.squares.iter_mut().for_each(|row| row[i] = 0.0);
+        self.calls.iter_mut().for_each(|calls| calls.products[i] = 0.0);
+        Some(i)
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        for runs in &mut self.runs {
+            runs.window += f64::from(runs.in_flight) * passed;
+        }
+        if now >= self.window_ends {
+            self.window_ends = now + WINDOW;
+            self.end_window();
+        }
+    }
+
+    fn end_window(&mut self) {
+        if self.runs.iter().all(|runs| runs.window == 0.0) {
+            self.calls.iter_mut().for_each(|calls| calls.window = 0.0);
             return;
         }
-        for (i, row) in self.squares.iter_mut().enumerate() {
-            for (k, sum) in row.iter_mut().enumerate() {
-                *sum = *sum * KEPT + self.window_runs[i] * self.window_runs[k];
-            }
+        let times: Vec<f64> = self.runs.iter().map(|runs| runs.window).collect();
+        for (row, time) in self.squares.iter_mut().zip(&times) {
+            row.iter_mut().zip(&times).for_each(|(sum, other)| *sum = *sum * KEPT + time * other);
         }
-        for (j, row) in self.products.iter_mut().enumerate() {
-            for (i, sum) in row.iter_mut().enumerate() {
-                *sum = *sum * KEPT + self.window_runs[i] * self.window_calls[j];
+        for calls in &mut self.calls {
+            let made = std::mem::take(&mut calls.window);
+            for (sum, time) in calls.products.iter_mut().zip(&times) {
+                *sum = *sum * KEPT + time * made;
             }
+            calls.square = calls.square * KEPT + made * made;
         }
-        for (sum, count) in self.call_squares.iter_mut().zip(&self.window_calls) {
-            *sum = *sum * KEPT + count * count;
+        for runs in &mut self.runs {
+            runs.seconds = runs.seconds * KEPT + std::mem::take(&mut runs.window);
+            runs.ended *= KEPT;
         }
         self.windows = self.windows * KEPT + 1.0;
-        self.window_runs.fill(0.0);
-        self.window_calls.fill(0.0);
         self.solve();
     }
 
-    /// Returns the calls that one run of a class makes on average, at least.
-    pub fn of(&self, class: &ClassName) -> &[(ClassName, f64)] {
-        self.factors.get(class).map_or(&[], Vec::as_slice)
-    }
-
     fn solve(&mut self) {
         self.factors.clear();
-        let freedom = self.windows - self.runs.len() as f64;
-        let Some(inverse) = inverted(&self.squares).filter(|_| freedom >= MIN_WINDOWS) else {
+        let used = self.runs.iter().filter(|runs| runs.seconds > 0.0).count();
+        let freedom = self.windows - used as f64;
+        let inverse = inverted(&self.squares).filter(|_| freedom >= MIN_WINDOWS);
+        self.is_known = inverse.is_some();
+        let Some(inverse) = inverse else {
             return;
         };
-        for (j, call) in self.calls.iter().enumerate() {
-            let products = &self.products[j];
-            let fit: Vec<f64> = inverse.iter().map(|row| dot(row, products)).collect();
-            let error = (self.call_squares[j] - dot(&fit, products)).max(0.0) / freedom;
-            for (i, run) in self.runs.iter().enumerate() {
+        for calls in &self.calls {
+            let fit: Vec<f64> = inverse.iter().map(|row| dot(row, &calls.products)).collect();
+            let error = (calls.square - dot(&fit, &calls.products)).max(0.0) / freedom;
+            for (i, runs) in self.runs.iter().enumerate() {
                 let lower = fit[i] - ERRORS * (error * inverse[i][i].max(0.0)).sqrt();
-                if lower > 0.0 {
-                    self.factors.entry(run.clone()).or_default().push((call.clone(), lower));
+                let factor = lower * runs.seconds / runs.ended.max(1.0);
+                if factor > 0.0 {
+                    let of_class = self.factors.entry(runs.class.clone()).or_default();
+                    of_class.push((calls.class.clone(), factor));
                 }
             }
         }
@@ -169,15 +243,3 @@
     }
     Some(inverse)
 }
-
-/// Returns the place of a class in a list, adding it; `None` if the list is full.
-fn index_of(list: &mut Vec<ClassName>, class: &ClassName) -> Option<usize> {
-    if let Some(i) = list.iter().position(|known| known == class) {
-        return Some(i);
-    }
-    if list.len() >= MAX_CLASSES {
-        return None;
-    }
-    list.push(class.clone());
-    Some(list.len() - 1)
-}
--- /dev/null
+++ b/crates/core/tests/callgraph.rs
@@ -0,0 +1,139 @@
+//! Learned call factors.
+
+use std::time::Duration;
+
+use snipehollow_core::callgraph::CallFactors;
+use snipehollow_core::ids::ClassName;
+use snipehollow_core::rng::Rng;
+use snipehollow_core::time::Timestamp;
+
+fn class(name: &str) -> ClassName {
+    ClassName::new(name).unwrap()
+}
+
+fn factor(factors: &CallFactors, run: &str, call: &str) -> f64 {
+    let (run, call) = (class(run), class(call));
+    factors.of(&run).iter().find(|(name, _)| **name == call).map_or(0.0, |(_, factor)| *factor)
+}
+
+/// What happens at a moment.
+enum Event {
+    Start(&'static str),
+    Call,
+    End(&'static str),
+}
+
+/// Runs two classes at random beside each other; only `deep` makes calls, four a run, one
+/// after the other, and `flat` makes an eighth of the runs.
+fn learn(seed: u64, seconds: u64) -> CallFactors {
+    let mut rng = Rng::new(seed);
+    let mut events: Vec<(u64, Event)> = Vec::new();
+    for start in (0..seconds * 1_000).step_by(10) {
+        if rng.chance(0.4) {
+            events.push((start, Event::Start("deep")));
+            events.extend((0..4).map(|call| (start + 20 + 70 * call, Event::Call)));
+            events.push((start + 300, Event::End("deep")));
+        }
+        if rng.chance(0.05) {
+            events.push((start, Event::Start("flat")));
+            events.push((start + 180, Event::End("flat")));
+        }
+    }
+    events.sort_by_key(|(at, _)| *at);
+    let mut factors = CallFactors::new();
+    for (at, event) in events {
+        let now = Timestamp::from_millis(at);
+        match event {
+            Event::Start(name) => factors.run_started(now, &class(name)),
+            Event::Call => factors.call_made(now, &class("call")),
+            Event::End(name) => factors.run_ended(now, &class(name)),
+        }
+    }
+    factors
+}
+
+#[test]
+fn call_factors_tell_classes_apart() {
+    for seed in 0..40 {
+        for seconds in [6, 50] {
+            let factors = learn(seed, seconds);
+            let deep = factor(&factors, "deep", "call");
+            assert!((deep - 4.0).abs() < 0.4, "seed {seed}, {seconds} s: {deep}");
+            let flat = factor(&factors, "flat", "call");
+            assert!(flat < 0.3, "seed {seed}, {seconds} s: {flat}");
+        }
+    }
+}
+
+#[test]
+fn every_class_counts_as_calling_at_first() {
+    let factors = learn(1, 2);
+    assert_eq!(factor(&factors, "deep", "call"), 1.0);
+    assert_eq!(factor(&factors, "flat", "call"), 1.0);
+}
+
+#[test]
+fn call_without_run_is_nobodys() {
+    let mut factors = CallFactors::new();
+    factors.call_made(Timestamp::ZERO, &class("call"));
+    for i in 0..100 {
+        factors.run_started(Timestamp::from_millis(200 * i), &class("run"));
+        factors.run_ended(Timestamp::from_millis(200 * i + 100), &class("run"));
+    }
+    assert_eq!(factors.of(&class("run")).len(), 0);
+}
+
+#[test]
+fn run_end_without_start_is_ignored() {
+    let mut factors = CallFactors::new();
+    factors.run_ended(Timestamp::ZERO, &class("run"));
+    factors.run_started(Timestamp::ZERO, &class("run"));
+    factors.run_ended(Timestamp::ZERO, &class("run"));
+    factors.run_ended(Timestamp::ZERO, &class("run"));
+    assert_eq!(factors.of(&class("run")).len(), 0);
+}
+
+#[test]
+fn call_factors_bounded_in_classes() {
+    let mut factors = CallFactors::new();
+    for i in 0..1_000 {
+        let now = Timestamp::from_millis(i);
+        factors.run_started(now, &class(&format!("run-{i}")));
+        factors.call_made(now, &class(&format!("call-{i}")));
+    }
+    assert!(factors.of(&class("run-0")).len() <= 32);
+}
+
+#[test]
+fn call_factors_learned_after_many_rare_classes() {
+    let mut factors = CallFactors::new();
+    for i in 0..1_000 {
+        let (now, rare) = (Timestamp::from_millis(i * 20), class(&format!("rare-{i}")));
+        factors.run_started(now, &rare);
+        factors.call_made(now, &class(&format!("rare-call-{i}")));
+        factors.run_ended(now + Duration::from_millis(5), &rare);
+    }
+    let (run, call) = (class("run"), class("call"));
+    for i in 1_000..2_000 {
+        let now = Timestamp::from_millis(i * 20);
+        factors.run_started(now, &run);
+        factors.call_made(now + Duration::from_millis(5), &call);
+        factors.run_ended(now + Duration::from_millis(10), &run);
+    }
+    assert!(factor(&factors, "run", "call") > 0.8);
+}
+
+#[test]
+fn call_factor_of_a_class_that_stopped_calling_falls() {
+    let mut factors = CallFactors::new();
+    let (run, call) = (class("run"), class("call"));
+    for i in 0..200 {
+        let now = Timestamp::from_millis(i * 500);
+        factors.run_started(now, &run);
+        if i < 60 {
+            factors.call_made(now, &call);
+        }
+        factors.run_ended(now + Duration::from_millis(100), &run);
+    }
+    assert!(factor(&factors, "run", "call") < 0.2);
+}
--- a/crates/node/src/host/pressure.rs
+++ b/crates/node/src/host/pressure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use snipehollow_core::admission::{ClassPressure, PressureMeter, TreePressure};
+use snipehollow_core::admission::{PressureMeter, ReportedLevel, TreePressure, admitted_share};
 use snipehollow_core::callgraph::CallFactors;
 use snipehollow_core::class::ClassPolicy;
 use snipehollow_core::collections::{FastMap, FastSet};
@@ -10,13 +10,19 @@
 use snipehollow_core::time::Timestamp;
 
 use super::state::HostState;
-use crate::traffic::Call;
+use crate::traffic::{Answer, Call};
 
 /// Calls a run from which on the called gates' pressure counts for the run's class; below it
 /// the estimate cannot be told from chance.
 const FACTOR_FLOOR: f64 = 0.3;
-/// Most classes whose pressure is kept.
-const MAX_CLASSES: usize = 4_096;
+/// Most classes, and most services, whose pressure is kept.
+const MAX_KEPT: usize = 4_096;
+/// Most services that the call tree of one class is known to reach.
+const MAX_REACH: usize = 16;
+/// Time after which a service that no answer named again is no longer reached.
+const REACH_KEPT: Duration = Duration::from_secs(30);
+/// Answers of which one names the services that its class reaches, to save bytes.
+const REACH_TOLD_IN: u64 = 8;
 
 /// Pressure of the gate of this host and of the classes that it calls.
 #[derive(Debug, Default)]
@@ -24,39 +30,76 @@
     meter: PressureMeter,
     factors: CallFactors,
     classes: FastMap<ClassName, ClassPressure>,
+    services: FastMap<ServiceName, ReportedLevel>,
     /// Classes of the local service that were seen to begin call trees.
     roots: FastSet<ClassName>,
 }
 
+/// What answers said of a class.
+#[derive(Debug, Default)]
+struct ClassPressure {
+    level: ReportedLevel,
+    is_root: bool,
+    /// Services that its requests reach, and when an answer last said so.
+    reach: Vec<(ServiceName, Timestamp)>,
+}
+
+impl ClassPressure {
+    fn note_reach(&mut self, now: Timestamp, service: &ServiceName) {
+        if let Some((_, told)) = self.reach.iter_mut().find(|(known, _)| known == service) {
+            *told = now;
+            return;
+        }
+        self.reach.retain(|(_, told)| now.since(*told) < REACH_KEPT);
+        if self.reach.len() < MAX_REACH {
+            self.reach.push((service.clone(), now));
+        }
+    }
+}
+
 impl PressureBook {
     /// Records that the upstream started a run.
-    pub(super) fn run_started(&mut self, class: &ClassName) {
-        self.factors.run_started(class);
+    pub(super) fn run_started(&mut self, now: Timestamp, class: &ClassName) {
+        self.factors.run_started(now, class);
     }
 
-    /// Returns the level of the gate of this host.
-    pub(super) fn own_level(&self) -> f64 {
-        self.meter.level()
+    /// Records that a run ended.
+    pub(super) fn run_ended(&mut self, now: Timestamp, class: &ClassName) {
+        self.factors.run_ended(now, class);
     }
 
-    /// Advances the meter and the estimate of calls; `wait` is that for
-    /// a slot of the gate.
-    pub(super) fn tick(&mut self, now: Timestamp, wait: Duration) {
-        self.meter.sample(now, wait);
-        self.factors.tick(now);
+    /// Records an arrival at the gate that is expected to hold a slot for this time.
+    pub(super) fn offer(&mut self, slot_time: Duration) {
+        self.meter.offer(slot_time);
     }
 
-    fn below(&self, now: Timestamp, class: &ClassName) -> f64 {
-        let calls = self.factors.of(class).iter().filter(|(_, factor)| *factor >= FACTOR_FLOOR);
-        let levels = calls.filter_map(|(call, _)| Some(self.classes.get(call)?.level(now)));
-        levels.fold(0.0, f64::max)
+    /// Advances the meter; `wait` is that for a slot of the gate.
+    pub(super) fn tick(&mut self, now: Timestamp, slots: u32, wait: Duration) {
+        self.meter.sample(now, slots, wait);
+    }
+
+    /// Returns the classes that runs of a class call; those that begin call trees come from
+    /// callers on this host.
+    fn calls(&self, class: &ClassName) -> impl Iterator<Item = &ClassPressure> {
+        let calls =
+            self.factors.of(class).into_iter().filter(|(_, factor)| *factor >= FACTOR_FLOOR);
+        calls.filter_map(|(call, _)| self.classes.get(call)).filter(|call| !call.is_root)
+    }
+
+    /// Returns the level of the gates that requests of a class reach, as far as answers told.
+    fn level(&self, now: Timestamp, class: &ClassPressure) -> f64 {
+        let services = class.reach.iter().filter_map(|(name, _)| self.services.get(name));
+        services.map(|level| level.get(now)).fold(class.level.get(now), f64::max)
     }
 }
 
 impl HostState {
     /// Records a call that arrived at this host's caller face.
-    pub(crate) fn note_arrival(&mut self, call: &Call) {
-        self.pressure.factors.call_made(&call.class.name);
+    pub(crate) fn note_arrival(&mut self, now: Timestamp, call: &Call) {
+        let book = &mut self.pressure;
+        if !book.classes.get(&call.class.name).is_some_and(|class| class.is_root) {
+            book.factors.call_made(now, &call.class.name);
+        }
     }
 
     /// Returns what this gate says of a class.
@@ -70,35 +113,63 @@
         local: Option<&ServiceName>,
     ) -> TreePressure {
         let from_own_service = call.origin.is_some() && call.origin.as_ref() == local;
-        let roots = &mut self.pressure.roots;
-        if from_own_service && !roots.contains(&call.class.name) && roots.len() < MAX_CLASSES {
-            roots.insert(call.class.name.clone());
+        let book = &mut self.pressure;
+        if from_own_service && !book.roots.contains(&call.class.name) && book.roots.len() < MAX_KEPT
+        {
+            book.roots.insert(call.class.name.clone());
         }
-        let is_root = roots.contains(&call.class.name);
-        let level = self.pressure.own_level().max(self.pressure.below(now, &call.class.name));
-        TreePressure::new(level, is_root)
+        let is_root = book.roots.contains(&call.class.name);
+        let below = book.calls(&call.class.name).map(|class| book.level(now, class));
+        TreePressure::new(book.meter.level(), below.fold(0.0, f64::max), is_root)
     }
 
-    /// Takes in what an answer says of its class.
-    pub(crate) fn note_pressure(
-        &mut self,
-        now: Timestamp,
-        class: &ClassName,
-        pressure: TreePressure,
-    ) {
-        let classes = &mut self.pressure.classes;
-        if classes.len() >= MAX_CLASSES && !classes.contains_key(class) {
-            classes.clear();
+    /// Returns the services that requests of a class reach below this gate, for one answer in
+    /// a few; else none.
+    pub(crate) fn tell_reach(&mut self, class: &ClassName) -> Vec<ServiceName> {
+        let mut reach = Vec::new();
+        if !self.random().is_multiple_of(REACH_TOLD_IN) {
+            return reach;
+        }
+        let named = self.pressure.calls(class).flat_map(|class| &class.reach);
+        for (service, _) in named {
+            if reach.len() < MAX_REACH && !reach.contains(service) {
+                reach.push(service.clone());
+            }
+        }
+        reach
+    }
+
+    /// Takes in what an answer says of its class and of the gate that gave it.
+    pub(crate) fn note_pressure(&mut self, now: Timestamp, call: &Call, answer: &Answer) {
+        let Some(pressure) = answer.pressure else {
+            return;
+        };
+        let book = &mut self.pressure;
+        if book.classes.len() >= MAX_KEPT && !book.classes.contains_key(&call.class.name) {
+            book.classes.clear();
+        }
+        if book.services.len() >= MAX_KEPT && !book.services.contains_key(&call.service) {
+            book.services.clear();
+        }
+        let class = book.classes.entry(call.class.name.clone()).or_default();
+        class.level.report(now, pressure.level_milli);
+        class.is_root |= pressure.is_root;
+        class.note_reach(now, &call.service);
+        for service in &answer.reach {
+            class.note_reach(now, service);
         }
-        classes.entry(class.clone()).or_default().report(now, pressure);
+        let gate = book.services.entry(call.service.clone()).or_default();
+        gate.report(now, pressure.gate_milli);
     }
 
-    /// Decides whether a request that begins a call tree is let in.
+    /// Decides whether a request that begins a call tree is let in; a call inside a tree
+    /// always is, since refusing it would waste the work above it.
     ///
-    /// Returns the pressure if it is not.
+    /// Returns the level if it is not.
     pub(crate) fn shed(&mut self, now: Timestamp, class: &ClassPolicy) -> Option<f64> {
-        let pressure = *self.pressure.classes.get(&class.name)?;
-        let share = pressure.admitted_share(now, class.rank);
-        (share < 1.0 && !self.rng_chance(share)).then(|| pressure.level(now))
+        let known = self.pressure.classes.get(&class.name).filter(|known| known.is_root)?;
+        let level = self.pressure.level(now, known);
+        let share = admitted_share(level, class.rank);
+        (share < 1.0 && !self.rng_chance(share)).then_some(level)
     }
 }
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -41,6 +41,14 @@
 /// Most routes with several targets whose shares are tracked.
 const MAX_CHOICES: usize = 4_096;
 
+/// A run at the upstream.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) class: ClassName,
+    /// Probability that it repeats work.
+    pub(super) repeat_share: f64,
+}
+
 /// State of the host's gate and entry.
 pub(crate) struct HostState {
     pub(super) mode: AdmissionMode,
@@ -56,8 +64,7 @@
     pub(super) ledger: AllowanceLedger<TryId>,
     pub(super) contexts: ContextBook,
     pub(super) pass_through_running: u32,
-    /// For each run at the upstream, the probability that it repeats work.
-    pub(super) repeat_runs: FastMap<TryId, f64>,
+    pub(super) runs: FastMap<TryId, Run>,
     pub(super) pressure: PressureBook,
     departures: Departures,
     router: Router,
@@ -99,7 +106,7 @@
             ledger: AllowanceLedger::new(),
             contexts: ContextBook::new(context_key),
             pass_through_running: 0,
-            repeat_runs: FastMap::default(),
+            runs: FastMap::default(),
             pressure: PressureBook::default(),
             departures: Departures::default(),
             router: Router::new(place, link),
@@ -205,10 +212,10 @@
 
     /// Returns the probability that a call which the upstream makes now repeats work.
     pub(crate) fn repeat_share(&self) -> f64 {
-        if self.repeat_runs.is_empty() {
+        if self.runs.is_empty() {
             return 0.0;
         }
-        self.repeat_runs.values().sum::<f64>() / self.repeat_runs.len() as f64
+        self.runs.values().map(|run| run.repeat_share).sum::<f64>() / self.runs.len() as f64
     }
 
     /// Records a request id that a caller chose and returns how often it was seen before.
@@ -344,8 +351,9 @@
     /// Advances timers: waiting requests past their deadline, lapsed announcements.
     pub(crate) fn tick(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
-        let wait = self.upstream.as_ref().map_or(Duration::ZERO, |upstream| upstream.gate.wait());
-        self.pressure.tick(now, wait);
+        let gate = self.upstream.as_ref().map(|upstream| &upstream.gate);
+        let (slots, wait) = gate.map_or((1, Duration::ZERO), |gate| (gate.limit(), gate.wait()));
+        self.pressure.tick(now, slots, wait);
         let Some(upstream) = &mut self.upstream else {
             return;
         };
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::contexts::ParentCall;
-use super::state::HostState;
+use super::state::{HostState, Run};
 use crate::traffic::Call;
 
 /// Decision of the gate on a waiting try.
@@ -90,6 +90,7 @@
         let Some(upstream) = &mut self.upstream else {
             return vec![Action::Refuse(id, Reason::NoUpstream)];
         };
+        self.pressure.offer(upstream.gate.class_time(&call.class.name));
         match self.mode {
             AdmissionMode::Full | AdmissionMode::Slots => {
                 let arrival = Arrival {
@@ -117,6 +118,7 @@
     /// Records that a try is about to be sent; `None` if the upstream is gone.
     pub(crate) fn start_try(
         &mut self,
+        now: Timestamp,
         id: TryId,
         call: &Call,
         granted: Allowance,
@@ -127,8 +129,9 @@
             self.pass_through_running += 1;
         }
         self.ledger.open(id, granted);
-        self.repeat_runs.insert(id, call.repeat_share);
-        self.pressure.run_started(&call.class.name);
+        let run = Run { class: call.class.name.clone(), repeat_share: call.repeat_share };
+        self.runs.insert(id, run);
+        self.pressure.run_started(now, &call.class.name);
         self.quarantine.start(id, call.fingerprint);
         let context = self.contexts.open(ParentCall {
             id,
@@ -154,7 +157,9 @@
         if was_started && self.mode == AdmissionMode::PassThrough {
             self.pass_through_running -= 1;
         }
-        self.repeat_runs.remove(&id);
+        if let Some(run) = self.runs.remove(&id) {
+            self.pressure.run_ended(now, &run.class);
+        }
         let waited = self.contexts.close(id, now);
         let cleared = self.quarantine.finish(now, id, completion != Completion::Failed);
         if let (Some(entry), Some(upstream)) = (cleared, &self.upstream) {
--- a/crates/node/src/logging/decisions.rs
+++ b/crates/node/src/logging/decisions.rs
@@ -77,6 +77,7 @@
         in_flight,
         limit,
         queued,
+        pressure_milli = answer.pressure.map_or(0, |pressure| pressure.level_milli),
         here_ms = now.since(call.received).as_millis() as u64,
         left_ms = call.deadline.since(now).as_millis() as u64;
         "gate"
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use snipehollow_core::admission::{LoadLevel, TreePressure};
-use snipehollow_core::ids::RequestId;
+use snipehollow_core::ids::{RequestId, ServiceName};
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
@@ -17,8 +17,10 @@
 
 /// Bytes counted for the parts of a stored answer other than its body.
 const STORED_OVERHEAD: usize = 512;
-/// Longest `retry-after`, in seconds.
-const MAX_RETRY_AFTER: u64 = 3;
+/// Shortest `retry-after` and its spread, in milliseconds: long enough for a level to take
+/// effect, short enough for an answer within the target latency of most routes.
+const RETRY_AFTER_MS: u64 = 300;
+const RETRY_AFTER_SPREAD_MS: u64 = 300;
 
 /// Answer to a call.
 #[derive(Clone, Debug)]
@@ -35,6 +37,8 @@
     pub(crate) level: Option<LoadLevel>,
     /// Pressure of the gates that the request's class reaches.
     pub(crate) pressure: Option<TreePressure>,
+    /// Services that the request's class reaches below the gate, if it told.
+    pub(crate) reach: Vec<ServiceName>,
     /// Ticket issued with a refusal that asks for one.
     pub(crate) ticket: Option<String>,
 }
@@ -51,6 +55,7 @@
             unspent: Allowance(0),
             level: None,
             pressure: None,
+            reach: Vec::new(),
             ticket: None,
         }
     }
@@ -121,7 +126,8 @@
     fn retry_after(&self, jitter: u64) -> Option<Duration> {
         let may_come_back =
             matches!(self.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
-        may_come_back.then(|| Duration::from_secs(1 + jitter % MAX_RETRY_AFTER))
+        let after = RETRY_AFTER_MS + jitter % RETRY_AFTER_SPREAD_MS;
+        may_come_back.then_some(Duration::from_millis(after))
     }
 
     /// Builds the response to another node.
@@ -135,6 +141,10 @@
         if let Some(pressure) = &self.pressure {
             headers::set(map, headers::PRESSURE, pressure);
         }
+        if !self.reach.is_empty() {
+            let names: Vec<&str> = self.reach.iter().map(ServiceName::as_str).collect();
+            headers::set(map, headers::REACH, names.join(","));
+        }
         response
     }
 
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -71,7 +71,7 @@
 /// Sheds a request whose call tree reaches an overloaded service, before it costs anything.
 fn shed(traffic: &Traffic, call: &Call, now: Timestamp) -> Option<Answer> {
     let mut host = traffic.shared.host();
-    host.note_arrival(call);
+    host.note_arrival(now, call);
     let level = host.shed(now, &call.class)?;
     let step = Step::new(now, Stage::Answer, Reason::TreeOverloaded, call.attempt);
     host.trace(&call.id, step.with_outcome(Outcome::NotRun));
@@ -330,9 +330,7 @@
         let mut host = self.traffic.shared.host();
         let end = self.end(now, result, answer.level.clone());
         host.router_finished(now, &self.call.service, &self.route.host.host, &end);
-        if let Some(pressure) = answer.pressure {
-            host.note_pressure(now, &self.call.class.name, pressure);
-        }
+        host.note_pressure(now, self.call, answer);
         if self.route.distance == Distance::Remote {
             let bytes = (self.call.body.len() + answer.body.len()) as u64 + HEADS_BYTES;
             host.charge_link(now, bytes);
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -36,7 +36,11 @@
     let mut answer = decide_and_run(traffic, call, granted).await;
     let local = traffic.shared.local_service();
     let now = traffic.shared.clock.now();
-    answer.pressure = Some(traffic.shared.host().tree_pressure(now, call, local.as_ref()));
+    {
+        let mut host = traffic.shared.host();
+        answer.pressure = Some(host.tree_pressure(now, call, local.as_ref()));
+        answer.reach = host.tell_reach(&call.class.name);
+    }
     decisions::gated(call, now, &answer, answer.level.as_ref());
     answer
 }
@@ -196,7 +200,7 @@
     let started = {
         let now = traffic.shared.clock.now();
         let mut host = traffic.shared.host();
-        let started = host.start_try(guard.id, call, granted);
+        let started = host.start_try(now, guard.id, call, granted);
         let reason = if started.is_some() { Reason::SlotFree } else { Reason::NoUpstream };
         host.trace(&call.id, Step::new(now, Stage::Gate, reason, call.attempt));
         started
@@ -330,6 +334,7 @@
         unspent: Allowance(0),
         level: None,
         pressure: None,
+        reach: Vec::new(),
         ticket: None,
     };
     (completion, answer)
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -53,13 +53,15 @@
 pub const VIRTUAL_HOST: HeaderName = HeaderName::from_static("snipehollow-virtual-host");
 /// Between nodes: pressure of the gates that the request's class reaches.
 pub const PRESSURE: HeaderName = HeaderName::from_static("snipehollow-pressure");
+/// Between nodes: services that requests of the class reach below the gate.
+pub const REACH: HeaderName = HeaderName::from_static("snipehollow-reach");
 /// Between nodes: probability that the run repeats work, if above 0.
 pub const REPEAT_SHARE: HeaderName = HeaderName::from_static("snipehollow-repeat-share");
 /// Between nodes: service on the host where the request began.
 pub const ORIGIN: HeaderName = HeaderName::from_static("snipehollow-origin");
 
 /// Headers that this project itself sets or reads; others pass through a node unchanged.
-static OWN: [HeaderName; 19] = [
+static OWN: [HeaderName; 20] = [
     REQUEST_ID,
     CALLER,
     ATTEMPT,
@@ -79,6 +81,7 @@
     ORIGIN,
     REPEAT_SHARE,
     PRESSURE,
+    REACH,
 ];
 
 /// Headers that a caller or an upstream may send.
