Retry budget at the gates; requests of callers are not charged as repeats

The budget was in debt (-40 at a host of the service above): each arrival at a node's caller face was charged with the mean repeat share of the runs beside it, requests of callers and calls of other classes too, so a few repeated runs taxed whole trees that begin there, and these taxed the hosts below. Beside it an entry knew only its own requests, so callers' few requests at each of many entries earned little.

Ruled out: the attempts of the route (allowance-spent 36 of 1,937).

Change: the budget is counted where requests arrive, at the gate, with a reserve for the most urgent rank; a call is charged by the runs that make it. The log's count of tries was always 1; it is true now.

--- a/crates/core/src/callgraph.rs
+++ b/crates/core/src/callgraph.rs
@@ -142,6 +142,15 @@
         Some(i)
     }
 
+    /// Returns the calls of one kind that a run of a class makes, as [`CallFactors::of`] does.
+    pub fn factor(&self, class: &ClassName, call: &ClassName) -> f64 {
+        if !self.is_known {
+            return if self.calls.iter().any(|calls| calls.class == *call) { 1.0 } else { 0.0 };
+        }
+        let factors = self.factors.get(class).map_or(&[][..], Vec::as_slice);
+        factors.iter().find(|(known, _)| known == call).map_or(0.0, |(_, factor)| *factor)
+    }
+
     fn advance(&mut self, now: Timestamp) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = now;
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -1,39 +1,45 @@
-//! Retry budget of one service at one node.
+//! Retry budget of one gate.
 
 use std::time::Duration;
 
+use crate::class::Rank;
 use crate::time::Timestamp;
 
-/// Repeats earned by one request. Three quarters of what operators allow at most for a
-/// service (a fifth), because nodes do not see each other's requests.
-const EARNED_PER_REQUEST: f64 = 0.15;
+/// Repeats earned by one request: nine tenths of what operators allow at most for a service
+/// (a fifth), because what was saved is spent a little later.
+const EARNED_PER_REQUEST: f64 = 0.18;
 /// Most repeats that may be saved up.
 const MAX_SAVED: f64 = 10.0;
+/// Repeats that only the most urgent rank may spend.
+const RESERVED: f64 = 4.0;
 /// Most repeats that may be owed.
 const MAX_OWED: f64 = 50.0;
 /// Time in which what was saved shrinks to a third, so that a quiet period cannot pay for a
 /// storm after it. Half the window over which operators count.
 const FADE: Duration = Duration::from_secs(5);
 
-/// Bounds the repeats that reach a service to a share of its requests.
+/// Bounds the repeats that reach an upstream to a share of its requests.
 ///
-/// A budget starts empty, so a restarted node earns before it spends, and the budgets of any
-/// number of nodes add up to no more than the share of all their requests. A request that a
-/// repeated run makes counts as a repeat by itself: it is charged when it arrives and may
-/// leave a debt, which direct retries then wait for.
+/// A gate sees every request and every repeat that reaches its upstream, so its count is
+/// exact, and the budgets of any number of gates add up to no more than the share of all their
+/// requests. A budget starts empty: a restarted node earns before it spends. A call that a
+/// repeated run makes counts as a repeat by itself: it is charged when it arrives and may leave
+/// a debt, which retries then wait for.
 ///
 /// ```
+/// use snipehollow_core::class::Rank;
 /// use snipehollow_core::retry::RetryBudget;
 /// use snipehollow_core::time::Timestamp;
 ///
 /// let now = Timestamp::ZERO;
 /// let mut budget = RetryBudget::new();
-/// assert!(!budget.spend(now));
+/// assert!(!budget.spend(now, Rank(0)));
 /// for _ in 0..10 {
 ///     budget.earn(now, 0.0);
 /// }
-/// assert!(budget.spend(now));
-/// assert!(!budget.spend(now));
+/// assert!(!budget.spend(now, Rank(1)));
+/// assert!(budget.spend(now, Rank(0)));
+/// assert!(!budget.spend(now, Rank(0)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
@@ -55,16 +61,22 @@
         self.saved = (self.saved + change).clamp(-MAX_OWED, MAX_SAVED);
     }
 
-    /// Spends one retry; false if the budget does not allow it.
-    pub fn spend(&mut self, now: Timestamp) -> bool {
+    /// Spends one retry; false if the budget does not allow it for the rank.
+    pub fn spend(&mut self, now: Timestamp, rank: Rank) -> bool {
         self.fade(now);
-        if self.saved < 1.0 {
+        let reserved = if rank == Rank(0) { 0.0 } else { RESERVED };
+        if self.saved < 1.0 + reserved {
             return false;
         }
         self.saved -= 1.0;
         true
     }
 
+    /// Returns the repeats that are saved up; below 0 those owed.
+    pub fn saved(&self) -> f64 {
+        self.saved
+    }
+
     fn fade(&mut self, now: Timestamp) {
         let passed = now.since(self.updated).as_secs_f64();
         self.saved *= (-passed / FADE.as_secs_f64()).exp();
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,4 +1,4 @@
-//! Retries: one allowance for a whole call chain, and a budget per service.
+//! Retries: one allowance for a whole call chain, and a budget at each gate.
 //!
 //! The entry mints one [`Allowance`] for a request. It keeps part of it for its own retries
 //! and grants the rest to each try; the gate's host lends from that grant to the deeper
@@ -8,7 +8,9 @@
 mod allowance;
 mod budget;
 mod ledger;
+mod runs;
 
 pub use allowance::{Allowance, RetryState};
 pub use budget::RetryBudget;
 pub use ledger::{AllowanceLedger, Grant};
+pub use runs::ActiveRuns;
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use snipehollow_core::retry::RetryBudget;
+use snipehollow_core::class::Rank;
+use snipehollow_core::ids::ClassName;
+use snipehollow_core::retry::{ActiveRuns, RetryBudget};
 use snipehollow_core::rng::Rng;
 use snipehollow_core::time::Timestamp;
 
@@ -21,7 +23,7 @@
         }
         budgets[i].earn(now, 0.0);
         requests += 1;
-        retries += u32::from(budgets[i].spend(now));
+        retries += u32::from(budgets[i].spend(now, Rank(0)));
     }
     assert!(f64::from(retries) <= 0.2 * f64::from(requests), "{retries} of {requests}");
     assert!(retries > 0);
@@ -33,7 +35,7 @@
     let mut now = Timestamp::ZERO;
     (0..1_000).for_each(|_| budget.earn(now, 0.0));
     now = now + Duration::from_secs(20);
-    assert!(!budget.spend(now));
+    assert!(!budget.spend(now, Rank(0)));
 }
 
 #[test]
@@ -42,5 +44,34 @@
     let mut budget = RetryBudget::new();
     (0..100).for_each(|_| budget.earn(now, 0.0));
     (0..20).for_each(|_| budget.earn(now, 1.0));
-    assert!(!budget.spend(now));
+    assert!(!budget.spend(now, Rank(0)));
+}
+
+#[test]
+fn budget_keeps_a_reserve_for_the_most_urgent_rank() {
+    let now = Timestamp::ZERO;
+    let mut budget = RetryBudget::new();
+    (0..1_000).for_each(|_| budget.earn(now, 0.0));
+    let lower = (0..100).filter(|_| budget.spend(now, Rank(1))).count();
+    let urgent = (0..100).filter(|_| budget.spend(now, Rank(0))).count();
+    assert!(lower > 0 && urgent >= 3, "{lower} of the lower rank, {urgent} of the first");
+}
+
+/// While many of a call's runs fail and are repeated, a caller's own requests to another
+/// service are no repeats, nor are the calls of runs of other classes.
+#[test]
+fn repeat_share_counts_only_runs_that_make_the_call() {
+    let (order, report) = (ClassName::new("order").unwrap(), ClassName::new("report").unwrap());
+    let mut runs = ActiveRuns::new();
+    for id in 0..10 {
+        runs.start(id, &order, 1.0);
+    }
+    for id in 10..20 {
+        runs.start(id, &report, 0.0);
+    }
+    assert_eq!(runs.repeat_share(|class| *class == report), 0.0);
+    assert_eq!(runs.repeat_share(|class| *class == order), 1.0);
+    assert_eq!(runs.repeat_share(|_| false), 0.0);
+    assert_eq!(runs.end(&3), Some(order));
+    assert_eq!(runs.end(&3), None);
 }
--- a/crates/node/src/host/pressure.rs
+++ b/crates/node/src/host/pressure.rs
@@ -78,6 +78,16 @@
         self.meter.sample(now, slots, wait);
     }
 
+    /// Tells whether requests of a class begin call trees, as far as answers told.
+    fn is_root(&self, class: &ClassName) -> bool {
+        self.classes.get(class).is_some_and(|class| class.is_root)
+    }
+
+    /// Tells whether runs of a class make calls of a class.
+    pub(super) fn may_call(&self, run: &ClassName, call: &ClassName) -> bool {
+        !self.is_root(call) && self.factors.factor(run, call) >= FACTOR_FLOOR
+    }
+
     /// Returns the classes that runs of a class call; those that begin call trees come from
     /// callers on this host.
     fn calls(&self, class: &ClassName) -> impl Iterator<Item = &ClassPressure> {
@@ -97,7 +107,7 @@
     /// Records a call that arrived at this host's caller face.
     pub(crate) fn note_arrival(&mut self, now: Timestamp, call: &Call) {
         let book = &mut self.pressure;
-        if !book.classes.get(&call.class.name).is_some_and(|class| class.is_root) {
+        if !book.is_root(&call.class.name) {
             book.factors.call_made(now, &call.class.name);
         }
     }
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -6,11 +6,12 @@
 use snipehollow_config::model::Route;
 use snipehollow_config::settings::{AdmissionMode, NodeSettings};
 use snipehollow_core::admission::GateConfig;
+use snipehollow_core::class::Rank;
 use snipehollow_core::collections::{FastMap, FastSet};
 use snipehollow_core::ids::{ClassName, HostName, InstanceId, RequestId, ServiceName, TryId};
 use snipehollow_core::membership::{Departures, UpstreamFacts, UpstreamState};
 use snipehollow_core::quarantine::{Quarantine, QuarantineEntry};
-use snipehollow_core::retry::{AllowanceLedger, RetryBudget};
+use snipehollow_core::retry::{ActiveRuns, AllowanceLedger, RetryBudget};
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::{LinkBudget, Router, RouterConfig, TryEnd, WeightedChoice};
 use snipehollow_core::ticket::{BookConfig, StartId, TicketBook, TicketKey};
@@ -36,17 +37,20 @@
 /// Share of the announced slots that are used where they are exact: upstreams slow down by
 /// up to a third when the last ones fill.
 const USED_SLOTS: f64 = 0.95;
-/// Most services that have a retry budget of their own.
+/// Most services whose spent retry budgets are kept.
 const MAX_BUDGETS: usize = 4_096;
+/// Time for which a retry that a gate refused keeps others from being sent: in it a busy gate
+/// earns a few.
+const BUDGET_SPENT_FOR: Duration = Duration::from_millis(100);
 /// Most routes with several targets whose shares are tracked.
 const MAX_CHOICES: usize = 4_096;
 
-/// A run at the upstream.
-#[derive(Debug)]
-pub(super) struct Run {
-    pub(super) class: ClassName,
-    /// Probability that it repeats work.
-    pub(super) repeat_share: f64,
+/// A retry budget that was found spent.
+#[derive(Clone, Copy, Debug)]
+struct SpentBudget {
+    /// Most urgent rank that was refused last.
+    rank: Rank,
+    until: Timestamp,
 }
 
 /// State of the host's gate and entry.
@@ -64,11 +68,13 @@
     pub(super) ledger: AllowanceLedger<TryId>,
     pub(super) contexts: ContextBook,
     pub(super) pass_through_running: u32,
-    pub(super) runs: FastMap<TryId, Run>,
+    pub(super) runs: ActiveRuns<TryId>,
+    /// Repeats that the upstream may still get.
+    pub(super) budget: RetryBudget,
     pub(super) pressure: PressureBook,
     departures: Departures,
     router: Router,
-    budgets: FastMap<ServiceName, RetryBudget>,
+    spent_budgets: FastMap<ServiceName, SpentBudget>,
     repeats: RepeatBook,
     choices: FastMap<ClassName, WeightedChoice>,
     traces: TraceBook,
@@ -106,11 +112,12 @@
             ledger: AllowanceLedger::new(),
             contexts: ContextBook::new(context_key),
             pass_through_running: 0,
-            runs: FastMap::default(),
+            runs: ActiveRuns::new(),
+            budget: RetryBudget::new(),
             pressure: PressureBook::default(),
             departures: Departures::default(),
             router: Router::new(place, link),
-            budgets: FastMap::default(),
+            spent_budgets: FastMap::default(),
             repeats: RepeatBook::default(),
             choices: FastMap::default(),
             traces: TraceBook::new(TRACED_REQUESTS),
@@ -202,20 +209,30 @@
         self.rng.next_u64()
     }
 
-    /// Returns the retry budget of a service.
-    pub(crate) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        if self.budgets.len() >= MAX_BUDGETS && !self.budgets.contains_key(service) {
-            self.budgets.clear();
+    /// Records that a gate of a service refused a retry of a rank for its budget.
+    pub(crate) fn note_budget_spent(&mut self, now: Timestamp, service: &ServiceName, rank: Rank) {
+        if self.spent_budgets.len() >= MAX_BUDGETS && !self.spent_budgets.contains_key(service) {
+            self.spent_budgets.clear();
         }
-        self.budgets.entry(service.clone()).or_default()
+        let spent = SpentBudget { rank, until: now + BUDGET_SPENT_FOR };
+        self.spent_budgets.insert(service.clone(), spent);
     }
 
-    /// Returns the probability that a call which the upstream makes now repeats work.
-    pub(crate) fn repeat_share(&self) -> f64 {
-        if self.runs.is_empty() {
-            return 0.0;
-        }
-        self.runs.values().map(|run| run.repeat_share).sum::<f64>() / self.runs.len() as f64
+    /// Tells whether a retry of a rank is likely to find the budget of a service spent.
+    pub(crate) fn is_budget_spent(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        rank: Rank,
+    ) -> bool {
+        let spent = self.spent_budgets.get(service);
+        spent.is_some_and(|spent| now < spent.until && rank >= spent.rank)
+    }
+
+    /// Returns the probability that a call of a class which arrives from this host now
+    /// repeats work.
+    pub(crate) fn repeat_share(&self, call: &ClassName) -> f64 {
+        self.runs.repeat_share(|run| self.pressure.may_call(run, call))
     }
 
     /// Records a request id that a caller chose and returns how often it was seen before.
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::contexts::ParentCall;
-use super::state::{HostState, Run};
+use super::state::HostState;
 use crate::traffic::Call;
 
 /// Decision of the gate on a waiting try.
@@ -56,6 +56,9 @@
         if let Some(reason) = self.refusal(now, call) {
             return Admission::Refused(reason);
         }
+        if !self.charge_budget(now, call) {
+            return Admission::Refused(Reason::BudgetSpent);
+        }
         self.next_try += 1;
         let id = TryId(self.next_try);
         let (tx, rx) = oneshot::channel();
@@ -65,6 +68,19 @@
         Admission::Wait(id, rx)
     }
 
+    /// Charges the budget for a retry, or credits it for a first request; false if there is
+    /// nothing left for a retry.
+    fn charge_budget(&mut self, now: Timestamp, call: &Call) -> bool {
+        if call.is_retry() {
+            return self.budget.spend(now, call.class.rank);
+        }
+        if call.attempt == 0 {
+            // Later offers of the same request are no further requests.
+            self.budget.earn(now, call.repeat_share);
+        }
+        true
+    }
+
     fn refusal(&mut self, now: Timestamp, call: &Call) -> Option<Reason> {
         if self.stopped {
             return Some(Reason::Leaving);
@@ -129,8 +145,7 @@
             self.pass_through_running += 1;
         }
         self.ledger.open(id, granted);
-        let run = Run { class: call.class.name.clone(), repeat_share: call.repeat_share };
-        self.runs.insert(id, run);
+        self.runs.start(id, &call.class.name, call.repeat_share);
         self.pressure.run_started(now, &call.class.name);
         self.quarantine.start(id, call.fingerprint);
         let context = self.contexts.open(ParentCall {
@@ -157,8 +172,8 @@
         if was_started && self.mode == AdmissionMode::PassThrough {
             self.pass_through_running -= 1;
         }
-        if let Some(run) = self.runs.remove(&id) {
-            self.pressure.run_ended(now, &run.class);
+        if let Some(class) = self.runs.end(&id) {
+            self.pressure.run_ended(now, &class);
         }
         let waited = self.contexts.close(id, now);
         let cleared = self.quarantine.finish(now, id, completion != Completion::Failed);
--- a/crates/node/src/logging/decisions.rs
+++ b/crates/node/src/logging/decisions.rs
@@ -91,7 +91,7 @@
         target: TARGET,
         level,
         id = call.id.as_str(),
-        tries = call.attempt + 1,
+        tries = answer.tries,
         class = call.class.name.as_str(),
         service = call.service.as_str(),
         reason = answer.reason.as_str(),
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -39,6 +39,8 @@
     pub(crate) pressure: Option<TreePressure>,
     /// Services that the request's class reaches below the gate, if it told.
     pub(crate) reach: Vec<ServiceName>,
+    /// Tries of the request, where its entry completed the answer.
+    pub(crate) tries: u16,
     /// Ticket issued with a refusal that asks for one.
     pub(crate) ticket: Option<String>,
 }
@@ -56,6 +58,7 @@
             level: None,
             pressure: None,
             reach: Vec::new(),
+            tries: 0,
             ticket: None,
         }
     }
--- a/crates/node/src/traffic/call.rs
+++ b/crates/node/src/traffic/call.rs
@@ -44,6 +44,11 @@
 }
 
 impl Call {
+    /// Tells whether an upstream may have got the request before.
+    pub(crate) fn is_retry(&self) -> bool {
+        self.repeat_share >= 1.0
+    }
+
     /// Returns the time by which the answer still has its full worth.
     pub(crate) fn worth_until(&self) -> Timestamp {
         match self.class.target_latency_ms {
--- a/crates/node/src/traffic/caller_face.rs
+++ b/crates/node/src/traffic/caller_face.rs
@@ -97,8 +97,10 @@
     }
     let target = find_target(traffic, &config, &parts, parent.as_ref())?;
     let ticket = read_ticket(&parts.headers)?;
-    let allowance = match &parent {
-        Some(_) => Allowance(target.class.retry_allowance),
+    let first = match &parent {
+        Some(_) => {
+            FirstAllowance { allowance: Allowance(target.class.retry_allowance), is_repeat: false }
+        }
         None => {
             first_allowance(traffic, &parts.headers, &target, head.id.as_ref(), ticket.as_ref())?
         }
@@ -115,6 +117,7 @@
     };
     let Target { service, path, class, virtual_host } = target;
     let fingerprint = Fingerprint::of(service.as_str(), parts.method.as_str(), &path, &body);
+    let repeat_share = if first.is_repeat { 1.0 } else { shared.host().repeat_share(&class.name) };
     let call = Call {
         id,
         service,
@@ -132,9 +135,9 @@
         ticket,
         suspect: false,
         attempt: 0,
-        repeat_share: shared.host().repeat_share(),
+        repeat_share,
     };
-    Ok(Accepted { call, parent, allowance })
+    Ok(Accepted { call, parent, allowance: first.allowance })
 }
 
 /// Where a request goes and how it is treated.
@@ -232,6 +235,13 @@
     }
 }
 
+/// What a caller's request may spend.
+struct FirstAllowance {
+    allowance: Allowance,
+    /// Whether the caller sent the request before.
+    is_repeat: bool,
+}
+
 /// Returns the allowance of a caller's request: repeats of one id share one allowance.
 ///
 /// A ticketed request runs at most once however often it is repeated, so its repeats cost
@@ -242,25 +252,23 @@
     target: &Target,
     id: Option<&RequestId>,
     ticket: Option<&Ticket>,
-) -> Result<Allowance, Box<Answer>> {
-    let Target { class, service, .. } = target;
+) -> Result<FirstAllowance, Box<Answer>> {
+    let class = &target.class;
+    let whole = FirstAllowance { allowance: Allowance(class.retry_allowance), is_repeat: false };
     if ticket.is_some() || class.repeat == Repeat::Never {
-        return Ok(Allowance(class.retry_allowance));
+        return Ok(whole);
     }
     let told = headers::parse::<u16>(map, &headers::ATTEMPT).unwrap_or(0);
     let mut host = traffic.shared.host();
     let seen = id.map_or(0, |id| host.record_repeat(id));
     let repeats = told.max(seen);
     if repeats == 0 {
-        return Ok(Allowance(class.retry_allowance));
+        return Ok(whole);
     }
     let Some(left) = class.retry_allowance.checked_sub(repeats) else {
         return Err(Box::new(Answer::refusal(Reason::AllowanceSpent)));
     };
-    if !host.budget(service).spend(traffic.shared.clock.now()) {
-        return Err(Box::new(Answer::refusal(Reason::BudgetSpent)));
-    }
-    Ok(Allowance(left))
+    Ok(FirstAllowance { allowance: Allowance(left), is_repeat: true })
 }
 
 fn read_ticket(map: &HeaderMap) -> Result<Option<Ticket>, Box<Answer>> {
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -37,7 +37,6 @@
     let mut progress =
         Progress { outcome: Outcome::NotRun, tried: Vec::new(), deaths: 0, host_is_gone: false };
     let mut time_in_tries = Duration::ZERO;
-    traffic.shared.host().budget(&call.service).earn(started, call.repeat_share);
     let mut call = Arc::clone(call);
     loop {
         let route = match choose_or_wait(traffic, &call, &progress).await {
@@ -225,7 +224,7 @@
     }
     let refusal = if retries.unspent() == Allowance(0) {
         Some(Reason::AllowanceSpent)
-    } else if !traffic.shared.host().budget(&call.service).spend(now) {
+    } else if traffic.shared.host().is_budget_spent(now, &call.service, call.class.rank) {
         Some(Reason::BudgetSpent)
     } else {
         None
@@ -303,6 +302,7 @@
         }
     }
     answer.unspent = retries.unspent();
+    answer.tries = progress.tried.len() as u16;
     let now = traffic.shared.clock.now();
     let step =
         Step::new(now, Stage::Answer, answer.reason, call.attempt).with_outcome(answer.outcome);
@@ -331,6 +331,9 @@
         let end = self.end(now, result, answer.level.clone());
         host.router_finished(now, &self.call.service, &self.route.host.host, &end);
         host.note_pressure(now, self.call, answer);
+        if answer.reason == Reason::BudgetSpent {
+            host.note_budget_spent(now, &self.call.service, self.call.class.rank);
+        }
         if self.route.distance == Distance::Remote {
             let bytes = (self.call.body.len() + answer.body.len()) as u64 + HEADS_BYTES;
             host.charge_link(now, bytes);
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -335,6 +335,7 @@
         level: None,
         pressure: None,
         reach: Vec::new(),
+        tries: 0,
         ticket: None,
     };
     (completion, answer)
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -117,6 +117,7 @@
         level,
         pressure,
         reach,
+        tries: 0,
         ticket,
     }
 }
