A fleet that starts at once finds itself and its upstreams within a second

The new lines about what a node knows show it: upstreams became known only with their next heartbeat, up to 1.5 s late, and own-zone members only in the second and third membership period of 1 s, other zones' hosts with the second pull.

Ruled out: the configuration (in force at all nodes 0.15 s after the start), the store's seeds.

Change: a health check of the local upstream at the start, five short first periods, quick first pulls.

--- a/crates/config/src/model/section.rs
+++ b/crates/config/src/model/section.rs
@@ -89,6 +89,9 @@
         /// Connections that one upstream accepts, if it is known.
         #[serde(default)]
         pub max_connections: Option<u32>,
+        /// Path at which an upstream tells whether it serves, if it does.
+        #[serde(default)]
+        pub health_path: Option<String>,
     }
 
     /// A section of either kind.
--- a/crates/config/src/settings/node.rs
+++ b/crates/config/src/settings/node.rs
@@ -20,7 +20,7 @@
 const DEFAULT_LEAVE_NOTICE_MS: u64 = 1_500;
 
 const SECTIONS: &[SectionSpec] = &[
-    SectionSpec { name: "host", keys: &["name", "zone", "region", "service"] },
+    SectionSpec { name: "host", keys: &["name", "zone", "region", "service", "upstream"] },
     SectionSpec {
         name: "listen",
         keys: &["caller", "peer", "control", "upstream", "admin", "ready", "metrics"],
@@ -99,6 +99,9 @@
     /// Service of the local upstream, for upstreams that expect to learn where a request
     /// began.
     pub service: Option<ServiceName>,
+    /// Address at which the local upstream takes requests, if it is known before the upstream
+    /// announces itself.
+    pub upstream_addr: Option<SocketAddr>,
     /// Address at which the local upstream announces itself.
     pub upstream: SocketAddr,
     /// Address at which the platform asks whether this node is ready, besides `admin`.
@@ -180,6 +183,7 @@
     let zone = reader.required("host", "zone", name_rule, ZoneName::new);
     let region = reader.required("host", "region", name_rule, RegionName::new);
     let service = reader.optional("host", "service", name_rule, ServiceName::new);
+    let upstream_addr = reader.optional("host", "upstream", addr_rule, str::parse::<SocketAddr>);
     let ready = reader.optional("listen", "ready", addr_rule, str::parse::<SocketAddr>);
     let metrics = reader.optional("listen", "metrics", addr_rule, str::parse::<SocketAddr>);
     let near_pull = reader.number("directory", "near_pull_ms", 100..=600_000, 5_000);
@@ -221,6 +225,7 @@
         peer: peer?,
         control: control?,
         service,
+        upstream_addr,
         upstream: upstream?,
         ready,
         metrics,
--- a/crates/config/src/sheet/parse.rs
+++ b/crates/config/src/sheet/parse.rs
@@ -74,6 +74,7 @@
             refusals: *refusals,
             rules,
             max_connections: None,
+            health_path: None,
         })
     }
 }
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -15,6 +15,13 @@
 use crate::routing::Candidate;
 use crate::time::Timestamp;
 
+/// First pulls from a zone, which are made in quick succession: its hosts may have started at
+/// the same time as this one and not know each other yet.
+const FIRST_PULLS: u32 = 8;
+/// Time between these.
+const FIRST_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which another contact is asked when one did not answer.
+const FAILED_INTERVAL: Duration = Duration::from_secs(1);
 /// Most contacts that are remembered of one zone.
 const MAX_CONTACTS: usize = 8;
 
@@ -110,6 +117,7 @@
     near: bool,
     interval: Duration,
     next_pull: Timestamp,
+    pulls: u32,
     services: FastMap<ServiceName, Vec<Candidate>>,
 }
 
@@ -136,6 +144,7 @@
             near,
             interval,
             next_pull: Timestamp::ZERO,
+            pulls: 0,
             services: FastMap::default(),
         });
         for contact in contacts {
@@ -229,10 +238,11 @@
             let Some(zone) = self.zones.get_mut(&name).filter(|zone| zone.next_pull <= now) else {
                 continue;
             };
-            zone.next_pull = now + zone.interval;
+            zone.next_pull = now + zone.interval_or(zone.interval);
             let Some(from) = zone.contacts.first().copied() else {
                 continue;
             };
+            zone.pulls += 1;
             let query = zone.query(wanted);
             actions.push(DirectoryAction::Pull { zone: name, from, query });
         }
@@ -266,7 +276,7 @@
     pub fn on_failed(&mut self, now: Timestamp, zone: &ZoneName) {
         if let Some(entry) = self.zones.get_mut(zone) {
             entry.rotate_contacts();
-            entry.next_pull = now + Duration::from_secs(1);
+            entry.next_pull = now + entry.interval_or(FAILED_INTERVAL);
         }
     }
 
@@ -315,6 +325,11 @@
 }
 
 impl Zone {
+    /// Returns the time until the next pull; `settled` after the first pulls.
+    fn interval_or(&self, settled: Duration) -> Duration {
+        if self.pulls < FIRST_PULLS { FIRST_INTERVAL } else { settled }
+    }
+
     fn rotate_contacts(&mut self) {
         if self.contacts.len() > 1 {
             self.contacts.rotate_left(1);
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -203,7 +203,7 @@
         self.time_out_probes(now, rng, &mut actions);
         self.time_out_suspects(now);
         if now >= self.next_period {
-            self.next_period = now + self.cfg.period;
+            self.next_period = now + self.period();
             self.periods += 1;
             self.start_period(now, rng, &mut actions);
         }
--- a/crates/core/src/membership/swim/healing.rs
+++ b/crates/core/src/membership/swim/healing.rs
@@ -2,6 +2,7 @@
 //! become one.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::{MISMATCHES_TO_SYNC, Membership};
 use crate::ids::HostName;
@@ -15,8 +16,17 @@
 /// Periods after the start in which a seed is contacted in each of them: nodes that start
 /// together may first meet in separate groups.
 const FIRST_PERIODS: u64 = 15;
+/// Periods after the start that are short: all nodes of a zone may start at once, and until
+/// they know each other they refuse what others could serve.
+const SHORT_PERIODS: u64 = 5;
+/// Length of these: ten round trips inside a region.
+const SHORT_PERIOD: Duration = Duration::from_millis(200);
 
 impl Membership {
+    pub(super) fn period(&self) -> Duration {
+        if self.periods < SHORT_PERIODS { SHORT_PERIOD } else { self.cfg.period }
+    }
+
     pub(super) fn random_dead(&self, rng: &mut Rng) -> Option<HostName> {
         let mut dead: Vec<&HostName> = self
             .others()
--- a/crates/fuzzing/src/oracles/store.rs
+++ b/crates/fuzzing/src/oracles/store.rs
@@ -210,6 +210,7 @@
             refusals,
             rules: Vec::new(),
             max_connections: None,
+            health_path: None,
         }));
     }
     sections
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -143,6 +143,13 @@
     shared.metrics.members.set(control.membership.live_count() as i64);
     shared.metrics.revision.set(control.config().revision() as i64);
     if let Some(snapshot) = control.publish() {
+        log::info!(
+            members = control.membership.live_count(),
+            services = snapshot.hosts.len(),
+            hosts = snapshot.hosts.values().map(Vec::len).sum::<usize>(),
+            revision = snapshot.config.revision;
+            "the view of hosts and routes changed"
+        );
         shared.snapshot.store(Arc::new(snapshot));
     }
     drop(control);
--- a/crates/node/src/edges/protocol.rs
+++ b/crates/node/src/edges/protocol.rs
@@ -128,6 +128,12 @@
         false
     }
 
+    /// Reads an upstream's answer to a health check: the name of its start, if it serves and
+    /// says who it is.
+    fn read_health(&self, _status: StatusCode, _map: &HeaderMap) -> Option<InstanceId> {
+        None
+    }
+
     /// Tells whether a path asks if the node is ready.
     fn is_readiness(&self, method: &Method, path: &str) -> bool;
 }
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) use state::HostState;
 pub(crate) use tickets::{StoredAnswer, TicketUse};
 pub(crate) use tries::{Admission, GateWord, StartedTry};
+pub(crate) use upstream::UNKNOWN_START;
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -27,6 +27,7 @@
 use super::tries::GateWord;
 use super::upstream::{LocalUpstream, usable_slots};
 use crate::clock::unix_millis;
+use crate::logging::decisions;
 use crate::snapshot::Snapshot;
 use crate::traffic::Answer;
 
@@ -285,6 +286,7 @@
             .is_some_and(|id| self.departures.contains(now, id, announcement.start));
         let same = self.upstream.as_ref().is_some_and(|up| up.is_same(announcement));
         if !same {
+            decisions::upstream_known(announcement);
             self.upstream_lost(now);
             self.upstream = Some(LocalUpstream::new(self.gate_cfg.clone(), now, announcement));
         }
@@ -306,6 +308,11 @@
         self.facts(now)
     }
 
+    /// Tells whether an upstream announced itself or was found.
+    pub(crate) fn has_upstream(&self) -> bool {
+        self.upstream.is_some()
+    }
+
     /// Takes in that an upstream leaves; others than the announced one are no matter.
     pub(crate) fn upstream_leaves(
         &mut self,
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -9,6 +9,9 @@
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::admin::Announcement;
 
+/// Number of a start that is not known, as of an upstream that was found by its health check.
+pub(crate) const UNKNOWN_START: u64 = 0;
+
 /// An announced upstream and its gate.
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
@@ -42,7 +45,7 @@
 
     /// Tells whether an announcement is by the same start of the same upstream.
     pub(crate) fn is_same(&self, announcement: &Announcement) -> bool {
-        self.start == announcement.start
+        (self.start == announcement.start || self.start == UNKNOWN_START)
             && self.instance == announcement.instance
             && self.addr == announcement.addr
             && self.facts.service == announcement.upstream.service
@@ -58,6 +61,7 @@
 
     pub(crate) fn renew(&mut self, now: Timestamp, announcement: &Announcement) {
         self.facts = announcement.upstream.clone();
+        self.start = announcement.start;
         self.sequence = announcement.sequence;
         self.expires = now + ttl(announcement);
     }
--- a/crates/node/src/logging/decisions.rs
+++ b/crates/node/src/logging/decisions.rs
@@ -4,9 +4,11 @@
 
 use snipehollow_core::admission::LoadLevel;
 use snipehollow_core::ids::RequestId;
+use snipehollow_core::membership::UpstreamState;
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::routing::{Distance, Route};
 use snipehollow_core::time::Timestamp;
+use snipehollow_wire::admin::Announcement;
 
 use crate::traffic::{Answer, Call};
 
@@ -59,6 +61,19 @@
     );
 }
 
+/// Logs a start of the local upstream that was not known before.
+pub(crate) fn upstream_known(announcement: &Announcement) {
+    log::info!(
+        instance = announcement.instance.as_ref().map_or("", |id| id.as_str()),
+        service = announcement.upstream.service.as_str(),
+        start = announcement.start,
+        sequence = announcement.sequence,
+        slots = announcement.upstream.slots,
+        serves = announcement.upstream.state == UpstreamState::Serving;
+        "an upstream is known"
+    );
+}
+
 /// Logs what became of a try at the gate and the upstream of this host.
 pub(crate) fn gated(call: &Call, now: Timestamp, answer: &Answer, load: Option<&LoadLevel>) {
     let (in_flight, limit, queued) =
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod server;
 mod threads;
 mod upstream_face;
+mod upstream_probe;
 
 pub(crate) use answer::Answer;
 pub(crate) use call::Call;
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -8,6 +8,7 @@
 use super::Traffic;
 use super::pool::Pool;
 use super::server::{Face, serve_face};
+use super::upstream_probe::find_upstream;
 use crate::NodeError;
 use crate::shared::Shared;
 use crate::supervisor::Child;
@@ -55,6 +56,7 @@
     if let Some(metrics) = metrics {
         tokio::spawn(serve_face(traffic.clone(), Face::Metrics, metrics));
     }
+    tokio::spawn(find_upstream(traffic.clone()));
     let mut interval = tokio::time::interval(CLOSE_INTERVAL);
     while !shared.is_stopping() {
         tokio::select! {
