Requests that may run once use connections that were used a moment ago

Cause: a request that may not be sent again goes out on a kept connection; one that the instance closes at that moment makes its fate unknown (502), and the caller may not repeat it. Change: such a request takes a connection only if it was idle for less than 250 ms, else a new one. Ruled out: a new connection for each of them, which costs a handshake where none is needed.

--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -1,5 +1,6 @@
 //! Membership of one availability zone.
 
+mod exchange;
 mod healing;
 
 use std::net::SocketAddr;
@@ -11,7 +12,7 @@
 use super::member::{HostFacts, Member, MemberNews, MemberState, MemberUpdate, UpstreamFacts};
 use super::probes::{Probe, Probes};
 use super::rendezvous::rank_by_rendezvous;
-use super::sync::{BUCKETS, BucketDigests, SyncAnswer};
+use super::sync::BucketDigests;
 use crate::collections::{FastMap, FastSet};
 use crate::ids::{HostName, Incarnation};
 use crate::rng::Rng;
@@ -27,8 +28,6 @@
     Sync,
 }
 
-/// Buckets that one answer to a synchronization brings.
-const BUCKETS_PER_SYNC: usize = 8;
 /// Differing digests since the last synchronization before another one.
 const MISMATCHES_TO_SYNC: u32 = 4;
 /// Periods between two probes of a dead member, to notice a healed partition.
@@ -268,43 +267,6 @@
             .collect()
     }
 
-    /// Returns the digests to send for a synchronization.
-    pub fn digests(&self) -> &BucketDigests {
-        &self.digests
-    }
-
-    /// Answers a synchronization: the members of buckets that differ.
-    ///
-    /// A node that knows next to nothing gets all; otherwise a few buckets an answer keep the
-    /// bytes small, and the next answers bring the rest.
-    pub fn sync_answer(&self, digests: &BucketDigests) -> SyncAnswer {
-        let joins = digests.0.iter().filter(|digest| **digest != 0).count() <= 1;
-        let most = if joins { BUCKETS } else { BUCKETS_PER_SYNC };
-        let first = self.periods as usize * BUCKETS_PER_SYNC;
-        let chosen: Vec<usize> = (0..BUCKETS)
-            .map(|i| (first + i) % BUCKETS)
-            .filter(|bucket| self.digests.differs(digests, *bucket))
-            .take(most)
-            .collect();
-        let is_chosen =
-            |member: &&Member| chosen.contains(&BucketDigests::bucket(&member.update.host));
-        let members = self.members.values().filter(is_chosen);
-        SyncAnswer { news: members.map(|member| MemberNews::of(&member.update)).collect() }
-    }
-
-    /// Takes in the answer to a synchronization.
-    pub fn on_sync(&mut self, now: Timestamp, answer: &SyncAnswer) {
-        self.mismatches = 0;
-        for news in &answer.news {
-            self.merge(now, news, Source::Sync);
-        }
-    }
-
-    /// Takes in the state of a node that asks for a synchronization, and spreads it.
-    pub fn on_join(&mut self, now: Timestamp, own: &MemberNews) {
-        self.merge(now, own, Source::Gossip);
-    }
-
     fn own(&self) -> &Member {
         // Invariant: `new` stores the own entry and nothing removes it.
         &self.members[&self.host]
--- /dev/null
+++ b/crates/core/src/membership/swim/exchange.rs
@@ -0,0 +1,48 @@
+//! Synchronization of two nodes' views, by digests of buckets of members.
+
+use super::{Membership, Source};
+use crate::membership::sync::{BUCKETS, BucketDigests, SyncAnswer};
+use crate::membership::{Member, MemberNews};
+use crate::time::Timestamp;
+
+/// Buckets that one answer to a synchronization brings.
+const BUCKETS_PER_SYNC: usize = 8;
+
+impl Membership {
+    /// Returns the digests to send for a synchronization.
+    pub fn digests(&self) -> &BucketDigests {
+        &self.digests
+    }
+
+    /// Answers a synchronization: the members of buckets that differ.
+    ///
+    /// A node that knows next to nothing gets all; otherwise a few buckets an answer keep the
+    /// bytes small, and the next answers bring the rest.
+    pub fn sync_answer(&self, digests: &BucketDigests) -> SyncAnswer {
+        let joins = digests.0.iter().filter(|digest| **digest != 0).count() <= 1;
+        let most = if joins { BUCKETS } else { BUCKETS_PER_SYNC };
+        let first = self.periods as usize * BUCKETS_PER_SYNC;
+        let chosen: Vec<usize> = (0..BUCKETS)
+            .map(|i| (first + i) % BUCKETS)
+            .filter(|bucket| self.digests.differs(digests, *bucket))
+            .take(most)
+            .collect();
+        let is_chosen =
+            |member: &&Member| chosen.contains(&BucketDigests::bucket(&member.update.host));
+        let members = self.members.values().filter(is_chosen);
+        SyncAnswer { news: members.map(|member| MemberNews::of(&member.update)).collect() }
+    }
+
+    /// Takes in the answer to a synchronization.
+    pub fn on_sync(&mut self, now: Timestamp, answer: &SyncAnswer) {
+        self.mismatches = 0;
+        for news in &answer.news {
+            self.merge(now, news, Source::Sync);
+        }
+    }
+
+    /// Takes in the state of a node that asks for a synchronization, and spreads it.
+    pub fn on_join(&mut self, now: Timestamp, own: &MemberNews) {
+        self.merge(now, own, Source::Gossip);
+    }
+}
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -11,7 +11,7 @@
 use snipehollow_core::outcome::{Dispatched, Undispatched};
 use tokio::time::timeout_at;
 
-use super::pool::{Connection, Pool, SendError};
+use super::pool::{Connection, Pool, Reuse, SendError};
 
 /// An answer that arrived whole.
 pub(crate) struct WholeResponse {
@@ -44,13 +44,15 @@
     TimedOut,
 }
 
-/// What is taken as a whole answer.
+/// How a request is sent, and what is taken as its whole answer.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AnswerLimits {
+pub(crate) struct ExchangeLimits {
     /// Most bytes of its body.
     pub(crate) max_bytes: usize,
     /// Whether an answer without a length is whole once its connection is closed in order.
     pub(crate) unframed: bool,
+    /// Connections that may carry the request.
+    pub(crate) reuse: Reuse,
 }
 
 /// Sends a request and reads its answer to the end.
@@ -59,14 +61,14 @@
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
     deadline: Instant,
-    limits: AnswerLimits,
+    limits: ExchangeLimits,
 ) -> Result<WholeResponse, ExchangeError> {
     let deadline = tokio::time::Instant::from_std(deadline);
     let method = req.method().clone();
     let mut proof = Undispatched::new();
     let mut req = req;
     loop {
-        let mut connection = match pool.take(addr) {
+        let mut connection = match pool.take(addr, limits.reuse) {
             Some(connection) => connection,
             None => match timeout_at(deadline, pool.connect(addr)).await {
                 Ok(Ok(connection)) => connection,
@@ -109,7 +111,7 @@
 async fn read_whole(
     method: &Method,
     response: Response<Incoming>,
-    limits: AnswerLimits,
+    limits: ExchangeLimits,
 ) -> Result<(StatusCode, HeaderMap, Bytes), ReadError> {
     let (parts, body) = response.into_parts();
     if !limits.unframed && !says_its_length(method, parts.status, &parts.headers) {
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -19,7 +19,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout_at;
 
-use super::exchange::{AnswerLimits, ExchangeError, NotSentCause, WholeResponse, exchange};
+use super::exchange::{ExchangeError, ExchangeLimits, NotSentCause, WholeResponse, exchange};
+use super::pool::Reuse;
 use super::{Answer, Call, Traffic};
 use crate::edges::{Judgement, UpstreamRequest};
 use crate::host::{Admission, GateWord, StartedTry, StoredAnswer, TicketUse};
@@ -218,9 +219,10 @@
         }
     };
     let deadline = traffic.shared.clock.instant(call.deadline) + grace;
-    let limits = AnswerLimits {
+    let limits = ExchangeLimits {
         max_bytes: traffic.shared.settings.bounds.max_answer_bytes,
         unframed: traffic.shared.edges.protocol.answers_may_end_with_connection(),
+        reuse: Reuse::of(call.class.repeat),
     };
     let result = exchange(&traffic.pool, started.addr, req, deadline, limits).await;
     finish(traffic, call, &started, result, guard).await
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -15,8 +15,9 @@
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::headers;
 
-use super::exchange::{AnswerLimits, ExchangeError, WholeResponse, exchange};
+use super::exchange::{ExchangeError, ExchangeLimits, WholeResponse, exchange};
 use super::peer_face::ClassHeader;
+use super::pool::Reuse;
 use super::{Answer, Call, Traffic};
 
 /// Time past the deadline in which the other node's own answer about it may still arrive.
@@ -37,9 +38,10 @@
         return Answer::refusal(Reason::BadRequest).with_unspent(granted);
     };
     let deadline = traffic.shared.clock.instant(call.deadline) + ANSWER_SLACK;
-    let limits = AnswerLimits {
+    let limits = ExchangeLimits {
         max_bytes: traffic.shared.settings.bounds.max_answer_bytes,
         unframed: false,
+        reuse: Reuse::of(call.class.repeat),
     };
     match exchange(&traffic.pool, route.host.addr, req, deadline, limits).await {
         Ok(mut whole) => {
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use snipehollow_core::class::Repeat;
 use snipehollow_core::collections::FastMap;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -30,6 +31,36 @@
 /// Longest time that a connection stays idle.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Longest idle time of a connection that carries a request which may not be sent again: the
+/// other end may close one that is idle longer just as the request is on its way.
+const MAX_IDLE_TIME_ONCE: Duration = Duration::from_millis(250);
+
+/// Which idle connections may carry a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// Any: the request may be sent again if the connection turns out to be closed.
+    Any,
+    /// Those used a moment ago: the request may be sent once.
+    Recent,
+}
+
+impl Reuse {
+    /// Returns how a request of a class may use connections.
+    pub(crate) fn of(repeat: Repeat) -> Reuse {
+        match repeat {
+            Repeat::Idempotent => Reuse::Any,
+            Repeat::OncePerAttempt | Repeat::Never => Reuse::Recent,
+        }
+    }
+
+    fn max_idle(self) -> Duration {
+        match self {
+            Reuse::Any => MAX_IDLE_TIME,
+            Reuse::Recent => MAX_IDLE_TIME_ONCE,
+        }
+    }
+}
+
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     since: Instant,
@@ -60,13 +91,13 @@
         Pool::default()
     }
 
-    /// Returns an idle connection, if one is ready.
-    pub(crate) fn take(&self, addr: SocketAddr) -> Option<Connection> {
+    /// Returns the connection that was idle shortest, if it is ready and was used lately enough.
+    pub(crate) fn take(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let max_idle = reuse.max_idle();
         let mut idle = self.lock();
         let list = idle.get_mut(&addr)?;
-        while let Some(entry) = list.pop() {
-            let usable = entry.sender.is_ready() && entry.since.elapsed() < MAX_IDLE_TIME;
-            if usable {
+        while let Some(entry) = list.pop_if(|entry| entry.since.elapsed() < max_idle) {
+            if entry.sender.is_ready() {
                 return Some(Connection { addr, sender: entry.sender });
             }
         }
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -16,7 +16,8 @@
 use snipehollow_wire::admin::Announcement;
 
 use super::Traffic;
-use super::exchange::{AnswerLimits, exchange};
+use super::exchange::{ExchangeLimits, exchange};
+use super::pool::Reuse;
 use crate::host::UNKNOWN_START;
 
 /// Time after the start in which the upstream is looked for: two heartbeats of it.
@@ -84,7 +85,7 @@
     *req.uri_mut() = path.parse().ok()?;
     req.headers_mut().insert(HOST, HeaderValue::from_str(&addr.to_string()).ok()?);
     let deadline = std::time::Instant::now() + PROBE_TIMEOUT;
-    let limits = AnswerLimits { max_bytes: MAX_ANSWER_BYTES, unframed: false };
+    let limits = ExchangeLimits { max_bytes: MAX_ANSWER_BYTES, unframed: false, reuse: Reuse::Any };
     let Ok(mut whole) = exchange(&traffic.pool, addr, req, deadline, limits).await else {
         log::info!(addr = addr.to_string(); "the upstream does not answer a health check");
         return None;
