A burst that is gone a tenth of a second later sheds nothing; presumed calls are not told

One sample with a wait over 50 ms is enough to shed, and a process that was not scheduled for that long meets one. Change: the lower of the last two waits counts. Beside it, the services that a class reaches are told only once call factors are known: what is presumed in the first seconds was remembered by entries for 30 s. The dump of a node's state has demand, level and saved retries of its gate.

--- a/crates/core/src/admission/pressure.rs
+++ b/crates/core/src/admission/pressure.rs
@@ -8,8 +8,8 @@
 
 /// Share of the slots that admitted work is meant to fill.
 const TARGET_FILL: f64 = 0.95;
-/// Wait for a slot that is not worth shedding for; a call tree of the sites waits some eight
-/// times in a row within 1.5 s.
+/// Wait for a slot that is not worth shedding for: a tree of eight calls in a row with a target
+/// of 1.5 s loses a quarter of it.
 const WAIT_ALLOWED: f64 = 0.05;
 /// Time in which a longer wait is worked off.
 const DRAIN_TIME: f64 = 1.0;
@@ -30,9 +30,10 @@
 const PROBE_SHARE: f64 = 0.02;
 /// Wait for a slot at which the most urgent rank is shed too, once nothing else is left.
 const WAIT_URGENT: f64 = 0.12;
-/// Rise a second of the most urgent rank's share, for a wait of twice [`WAIT_URGENT`].
+/// Rise a second of the share of the most urgent rank that is shed, for a wait of twice
+/// [`WAIT_URGENT`].
 const URGENT_RISE: f64 = 0.25;
-/// Fall a second of the most urgent rank's share.
+/// Fall a second of that share.
 const URGENT_FALL: f64 = 0.6;
 /// Largest excess of the wait that counts, as a multiple of [`WAIT_URGENT`].
 const EXCESS_MAX: f64 = 2.0;
@@ -55,6 +56,8 @@
     admitted: f64,
     admitted_before: f64,
     urgent_shed: f64,
+    /// Wait of the last sample: one that is gone a sample later was a burst.
+    last_wait: f64,
     updated: Option<Timestamp>,
 }
 
@@ -66,6 +69,7 @@
             admitted: 1.0,
             admitted_before: 1.0,
             urgent_shed: 0.0,
+            last_wait: 0.0,
             updated: None,
         }
     }
@@ -80,13 +84,15 @@
     /// Ends a period: the gate has this many slots, and an arrival meets this wait for one.
     pub fn sample(&mut self, now: Timestamp, slots: u32, wait: Duration) {
         let offered = std::mem::take(&mut self.offered);
+        let last_wait = std::mem::replace(&mut self.last_wait, wait.as_secs_f64());
+        let standing_wait = last_wait.min(wait.as_secs_f64());
         let Some(before) = self.updated.replace(now) else {
             return;
         };
         let passed = now.since(before).as_secs_f64().clamp(0.001, 1.0);
         let demand = offered / (f64::from(slots.max(1)) * passed);
         self.demand.add(demand, weight(passed, DEMAND_TIME));
-        self.adjust(passed, wait.as_secs_f64());
+        self.adjust(passed, standing_wait);
     }
 
     fn adjust(&mut self, passed: f64, wait: f64) {
--- a/crates/core/src/callgraph.rs
+++ b/crates/core/src/callgraph.rs
@@ -142,6 +142,11 @@
         Some(i)
     }
 
+    /// Tells whether there are observations enough to tell the classes apart.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
     /// Returns the calls of one kind that a run of a class makes, as [`CallFactors::of`] does.
     pub fn factor(&self, class: &ClassName, call: &ClassName) -> f64 {
         if !self.is_known {
--- a/crates/core/tests/pressure.rs
+++ b/crates/core/tests/pressure.rs
@@ -38,6 +38,18 @@
     assert_eq!(meter.level(), 0.0);
 }
 
+#[test]
+fn pressure_ignores_a_short_burst() {
+    let (mut meter, mut now) = (PressureMeter::default(), Timestamp::ZERO);
+    feed(&mut meter, &mut now, 0.5, 0, 10);
+    for _ in 0..10 {
+        feed(&mut meter, &mut now, 8.0, 300, 1);
+        assert_eq!(meter.level(), 0.0);
+        feed(&mut meter, &mut now, 0.0, 0, 1);
+        assert_eq!(meter.level(), 0.0);
+    }
+}
+
 #[test]
 fn pressure_sheds_the_most_urgent_rank_last() {
     let (mut meter, mut now) = (PressureMeter::default(), Timestamp::ZERO);
--- a/crates/node/src/host/pressure.rs
+++ b/crates/node/src/host/pressure.rs
@@ -88,6 +88,16 @@
         !self.is_root(call) && self.factors.factor(run, call) >= FACTOR_FLOOR
     }
 
+    /// Returns the level of the gate of this host.
+    pub(super) fn own_level(&self) -> f64 {
+        self.meter.level()
+    }
+
+    /// Returns the demand that the gate meets, as a multiple of its slots.
+    pub(super) fn demand(&self) -> f64 {
+        self.meter.demand()
+    }
+
     /// Returns the classes that runs of a class call; those that begin call trees come from
     /// callers on this host.
     fn calls(&self, class: &ClassName) -> impl Iterator<Item = &ClassPressure> {
@@ -134,10 +144,11 @@
     }
 
     /// Returns the services that requests of a class reach below this gate, for one answer in
-    /// a few; else none.
+    /// a few once they are known; else none.
     pub(crate) fn tell_reach(&mut self, class: &ClassName) -> Vec<ServiceName> {
         let mut reach = Vec::new();
-        if !self.random().is_multiple_of(REACH_TOLD_IN) {
+        // What is only presumed must not be remembered elsewhere.
+        if !self.pressure.factors.is_known() || !self.random().is_multiple_of(REACH_TOLD_IN) {
             return reach;
         }
         let named = self.pressure.calls(class).flat_map(|class| &class.reach);
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -406,6 +406,9 @@
             in_flight: upstream.gate.in_flight() as u32,
             queued: upstream.gate.queued() as u32,
             leaving: upstream.gate.is_leaving(),
+            demand_milli: (self.pressure.demand() * 1_000.0) as u32,
+            level_milli: (self.pressure.own_level() * 1_000.0) as u32,
+            saved_retries_milli: (self.budget.saved() * 1_000.0) as i32,
         })
     }
 
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -44,6 +44,15 @@
         pub queued: u32,
         /// Whether it takes no new work.
         pub leaving: bool,
+        /// Slot time that arrivals ask for, in thousandths of what the slots have.
+        #[serde(default)]
+        pub demand_milli: u32,
+        /// Level that entries are told, in thousandths.
+        #[serde(default)]
+        pub level_milli: u32,
+        /// Retries that the upstream may get now, in thousandths; below 0 those owed.
+        #[serde(default)]
+        pub saved_retries_milli: i32,
     }
 
     /// A host of a called service, as the node sees it.
