Demand is compared with the announced slots where the limit adapts

Where the limit adapts it starts far below the slots; the first requests queue, and demand was compared with that limit, so a cold gate on a busy machine said that it was overloaded. Change: announced slots in that mode.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -165,6 +165,12 @@
         ((f64::from(self.limit.slots()) * self.cfg.slot_share) as u32).max(1)
     }
 
+    /// Returns the slots that demand is compared with: the announced ones where the limit
+    /// adapts, because a cold one is far below what the upstream can do.
+    pub fn capacity(&self) -> u32 {
+        if self.cfg.adaptive { self.limit.slots() } else { self.limit() }
+    }
+
     /// Returns the time after which a slot is free for a request behind all that wait.
     pub fn wait(&self) -> Duration {
         self.mean_time().mul_f64(self.queued() as f64 / f64::from(self.limit().max(1)))
--- a/crates/core/tests/pressure.rs
+++ b/crates/core/tests/pressure.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use snipehollow_core::admission::{PressureMeter, ReportedLevel, TreePressure, admitted_share};
+use snipehollow_core::admission::{
+    Gate, GateConfig, PressureMeter, ReportedLevel, TreePressure, admitted_share,
+};
 use snipehollow_core::class::Rank;
 use snipehollow_core::rng::Rng;
 use snipehollow_core::time::Timestamp;
@@ -38,6 +40,15 @@
     assert_eq!(meter.level(), 0.0);
 }
 
+#[test]
+fn demand_on_a_cold_adaptive_gate_is_compared_with_the_announced_slots() {
+    let cold = Gate::new(GateConfig::new(), 40);
+    assert!(cold.limit() < 40, "{}", cold.limit());
+    assert_eq!(cold.capacity(), 40);
+    let fixed = Gate::new(GateConfig::new().with_adaptive(false).with_slot_share(0.95), 40);
+    assert_eq!(fixed.capacity(), fixed.limit());
+}
+
 #[test]
 fn pressure_ignores_a_short_burst() {
     let (mut meter, mut now) = (PressureMeter::default(), Timestamp::ZERO);
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -376,7 +376,7 @@
     pub(crate) fn tick(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
         let gate = self.upstream.as_ref().map(|upstream| &upstream.gate);
-        let (slots, wait) = gate.map_or((1, Duration::ZERO), |gate| (gate.limit(), gate.wait()));
+        let (slots, wait) = gate.map_or((1, Duration::ZERO), |gate| (gate.capacity(), gate.wait()));
         self.pressure.tick(now, slots, wait);
         let Some(upstream) = &mut self.upstream else {
             return;
