Observe the rate limit that upstreams name, and that they say they are leaving

Nothing in the logs or metrics showed what an upstream says about itself in its responses, so the hypotheses of the incident could not be told apart. Each gate line and the metric rate_limit show the limit that the gate knows, so a gate that lost it after a restart can be seen. No decision depends on it yet.

The limit ends only with a response to a request that was dispatched after the last response that named it, since responses may be handled out of order. A header that cannot be read changes nothing.

--- a/benches/src/bin/scenarios.rs
+++ b/benches/src/bin/scenarios.rs
@@ -134,7 +134,7 @@
         ServicePlan::new("d", 2, 5, 40),
     ];
     let mesh = start_mesh(chain, mode, &single_class_sheet(&["a", "b", "c", "d"], 1_000, 2))?;
-    let slow = Behaviour { service_time_percent: 400, failing: false, leaving: false };
+    let slow = Behaviour { service_time_percent: 400, ..Behaviour::normal() };
     for host in mesh.plan.hosts.iter().filter(|host| host.name.starts_with("d-")) {
         mesh.set_behaviour(host, &slow)?;
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod rate;
 mod shedding;
+mod upstream_limit;
 
 pub use gate::{Action, Arrival, Completion, Gate, GateConfig, GateStats};
 pub use level::LoadLevel;
@@ -22,3 +23,4 @@
 pub use queue::{Priority, RankedQueue, Tier, WaitingRequest};
 pub use rate::TokenBucket;
 pub use shedding::{DemandMeter, ReportedLevel, SheddingLevels, admitted_share};
+pub use upstream_limit::{LimitChange, UpstreamLimit};
--- a/crates/node/src/adapters/mod.rs
+++ b/crates/node/src/adapters/mod.rs
@@ -15,8 +15,8 @@
 
 pub use native::NativeProtocol;
 pub use protocol::{
-    FailureResponse, NoticeError, Protocol, RequestHead, ResponseKind, UpstreamNotice,
-    UpstreamRequest,
+    FailureResponse, NoticeError, Protocol, RateSignal, RequestHead, ResponseKind, UpstreamNotice,
+    UpstreamRequest, UpstreamSignals,
 };
 
 /// Key-value store shared between the node's threads.
--- a/crates/node/src/adapters/native.rs
+++ b/crates/node/src/adapters/native.rs
@@ -10,8 +10,8 @@
 use snipehollow_wire::headers;
 
 use super::protocol::{
-    FailureResponse, NoticeError, Protocol, RequestHead, ResponseKind, UpstreamNotice,
-    UpstreamRequest,
+    FailureResponse, NoticeError, Protocol, RateSignal, RequestHead, ResponseKind, UpstreamNotice,
+    UpstreamRequest, UpstreamSignals,
 };
 
 /// The project's own protocol, as documented in the caller's guide.
@@ -68,6 +68,13 @@
         }
     }
 
+    fn read_signals(&self, map: &HeaderMap) -> UpstreamSignals {
+        UpstreamSignals {
+            rate: RateSignal::read(map, &headers::RATE_LIMIT),
+            leaving: headers::text(map, &headers::LEAVING) == Some("1"),
+        }
+    }
+
     fn read_notice(
         &self,
         method: &Method,
--- a/crates/node/src/adapters/protocol.rs
+++ b/crates/node/src/adapters/protocol.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
 use snipehollow_core::ids::{InstanceId, RequestId, ServiceName};
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
 use snipehollow_wire::admin::Announcement;
+use snipehollow_wire::headers;
 
 /// Fields read from the head of a caller's request.
 #[derive(Clone, Debug, Default)]
@@ -65,6 +67,42 @@
     Mismatched,
 }
 
+/// What the head of an upstream's response says about its rate limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateSignal {
+    /// The upstream names no limit.
+    #[default]
+    Absent,
+    /// Requests per second that the upstream accepts from all hosts together; finite and not
+    /// negative.
+    Named(f64),
+    /// The field cannot be read, so the last known limit still applies.
+    Unreadable,
+}
+
+impl RateSignal {
+    /// Reads the field `name`, a decimal number of requests per second.
+    pub fn read(map: &HeaderMap, name: &HeaderName) -> RateSignal {
+        if !map.contains_key(name) {
+            return RateSignal::Absent;
+        }
+        let limit = headers::parse::<f64>(map, name);
+        match limit.filter(|limit| limit.is_finite() && *limit >= 0.0) {
+            Some(limit) => RateSignal::Named(limit),
+            None => RateSignal::Unreadable,
+        }
+    }
+}
+
+/// What an upstream says about itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamSignals {
+    /// Rate limit that the upstream names.
+    pub rate: RateSignal,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: bool,
+}
+
 /// A notice that an upstream sends to its node.
 #[derive(Clone, Debug)]
 pub enum UpstreamNotice {
@@ -112,6 +150,9 @@
         map: &HeaderMap,
     ) -> ResponseKind;
 
+    /// Reads what an upstream says about itself in the head of a response.
+    fn read_signals(&self, map: &HeaderMap) -> UpstreamSignals;
+
     /// Decodes a notice of an upstream to its node.
     ///
     /// On an error, the node keeps its current information about the upstream.
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -157,7 +157,9 @@
         shared.snapshot.store(Arc::new(snapshot));
     }
     drop(control);
-    if let Some(gate) = shared.host().gate_state() {
+    let host = shared.host();
+    shared.metrics.rate_limit.set(host.rate_limit().unwrap_or(-1.0));
+    if let Some(gate) = host.gate_state() {
         shared.metrics.in_flight.set(i64::from(gate.in_flight));
         shared.metrics.queued.set(i64::from(gate.queued));
         shared.metrics.limit.set(i64::from(gate.limit));
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod caller_retries;
 mod contexts;
 mod shedding;
+mod signals;
 mod state;
 mod tickets;
 mod tries;
--- a/crates/node/src/logging/decisions.rs
+++ b/crates/node/src/logging/decisions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use snipehollow_core::admission::LoadLevel;
-use snipehollow_core::ids::RequestId;
+use snipehollow_core::ids::{InstanceId, RequestId};
 use snipehollow_core::membership::UpstreamState;
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::routing::{Distance, Route};
@@ -77,12 +77,29 @@
     );
 }
 
+/// Logs that the local upstream named a rate limit, in requests per second.
+pub(crate) fn log_rate_limit(instance: Option<&InstanceId>, per_second: f64) {
+    let instance = instance.map_or("", |id| id.as_str());
+    log::info!(instance, per_second; "upstream named a rate limit");
+}
+
+/// Logs that the local upstream no longer names a rate limit.
+pub(crate) fn log_rate_limit_end(instance: Option<&InstanceId>) {
+    log::info!(instance = instance.map_or("", |id| id.as_str()); "upstream named no rate limit any more");
+}
+
+/// Logs that a response of the local upstream said that the upstream is leaving.
+pub(crate) fn log_said_leaving(instance: Option<&InstanceId>) {
+    log::info!(instance = instance.map_or("", |id| id.as_str()); "upstream said that it is leaving");
+}
+
 /// Logs the result of a try at the gate and the upstream of this host.
 pub(crate) fn log_gate_result(
     call: &Call,
     now: Timestamp,
     response: &NodeResponse,
     load: Option<&LoadLevel>,
+    rate_limit: Option<f64>,
 ) {
     let (in_flight, limit, queued) =
         load.map_or((0, 0, 0), |load| (load.in_flight, load.limit, load.queued));
@@ -100,6 +117,7 @@
         in_flight,
         limit,
         queued,
+        rate_limit = rate_limit.unwrap_or(-1.0),
         pressure_milli = response.shedding_levels.map_or(0, |levels| levels.level_milli),
         here_ms = now.since(call.received).as_millis() as u64,
         left_ms = call.deadline.since(now).as_millis() as u64;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -38,7 +38,7 @@
     4.096,
 ];
 
-type FloatGauge = Gauge<f64, AtomicU64>;
+pub(crate) type FloatGauge = Gauge<f64, AtomicU64>;
 
 /// All metrics of one process and their registry.
 #[derive(Debug)]
@@ -55,6 +55,8 @@
     pub(crate) in_flight: Gauge,
     pub(crate) queued: Gauge,
     pub(crate) limit: Gauge,
+    /// Rate limit that the upstream names, in requests per second; -1 if it names none.
+    pub(crate) rate_limit: FloatGauge,
     pub(crate) revision: Gauge,
     pub(crate) live_members: Gauge,
     process_cpu: FloatGauge,
@@ -80,6 +82,7 @@
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             limit: Gauge::default(),
+            rate_limit: FloatGauge::default(),
             revision: Gauge::default(),
             live_members: Gauge::default(),
             process_cpu: FloatGauge::default(),
@@ -106,6 +109,8 @@
         r.register("in_flight", "Requests in flight at the upstream", self.in_flight.clone());
         r.register("queued", "Requests waiting at the gate", self.queued.clone());
         r.register("limit", "Limit of the requests in flight", self.limit.clone());
+        let help = "Requests per second that the upstream accepts, -1 without a limit";
+        r.register("rate_limit", help, self.rate_limit.clone());
         r.register("revision", "Revision of the configuration in force", self.revision.clone());
         r.register("live_members", "Live members of the zone", self.live_members.clone());
         let help = "CPU time of the process";
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -41,12 +41,13 @@
     let mut response = run_by_repeat_policy(traffic, call, granted).await;
     let local_service = traffic.shared.local_service();
     let now = traffic.shared.clock.now();
-    {
+    let rate_limit = {
         let mut host = traffic.shared.host();
         response.shedding_levels = Some(host.shedding_levels(now, call, local_service.as_ref()));
         response.dependencies = host.dependencies_to_report(&call.class.name);
-    }
-    decisions::log_gate_result(call, now, &response, response.load_level.as_ref());
+        host.rate_limit()
+    };
+    decisions::log_gate_result(call, now, &response, response.load_level.as_ref(), rate_limit);
     response
 }
 
@@ -288,7 +289,7 @@
     mut guard: TryGuard,
 ) -> NodeResponse {
     let (completion, mut response) = match result {
-        Ok(buffered) => classify_response(traffic, call, started, buffered),
+        Ok(buffered) => classify_response(traffic, call, started, guard.started, buffered),
         Err(err) => classify_failure(traffic, started.addr, err).await,
     };
     let (unspent, load_level) = guard.end(completion);
@@ -302,6 +303,7 @@
     traffic: &TrafficContext,
     call: &Call,
     started: &StartedTry,
+    dispatched: Timestamp,
     mut buffered: BufferedResponse,
 ) -> (Completion, NodeResponse) {
     let head = request_head(call, started, traffic.shared.clock.now());
@@ -317,6 +319,12 @@
     {
         traffic.pool.return_connection(connection);
     }
+    // These responses may come from another upstream.
+    if !matches!(kind, ResponseKind::Mismatched | ResponseKind::OtherInstance) {
+        let signals = traffic.shared.adapters.protocol.read_signals(&buffered.headers);
+        let now = traffic.shared.clock.now();
+        traffic.shared.host().record_signals(now, dispatched, signals);
+    }
     match kind {
         ResponseKind::Complete => complete_response(buffered),
         ResponseKind::NotExecuted => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -318,7 +318,7 @@
     }
 
     fn set_upstream_behaviour(&self, host: usize, service_time_percent: u32, failing: bool) {
-        let behaviour = Behaviour { service_time_percent, failing, leaving: false };
+        let behaviour = Behaviour { service_time_percent, failing, ..Behaviour::normal() };
         // Fails if the upstream is down, which then restarts with its normal behaviour anyway.
         let _ = self.mesh.set_behaviour(&self.mesh.plan.hosts[host], &behaviour);
     }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -81,6 +81,13 @@
         pub service_time_percent: u32,
         /// Whether every request fails immediately with status 500.
         pub failing: bool,
+        /// Requests per second that its responses name as a rate limit, in thousandths; 0 names
+        /// none.
+        #[serde(default)]
+        pub rate_limit_milli: u32,
+        /// Whether its responses say that it is leaving.
+        #[serde(default)]
+        pub says_leaving: bool,
         /// Whether it announces that it is leaving and ends once its requests have completed.
         pub leaving: bool,
     }
@@ -106,6 +113,19 @@
     }
 }
 
+impl Behaviour {
+    /// Returns the behaviour of an upstream that serves at its usual speed.
+    pub fn normal() -> Behaviour {
+        Behaviour {
+            service_time_percent: 100,
+            failing: false,
+            rate_limit_milli: 0,
+            says_leaving: false,
+            leaving: false,
+        }
+    }
+}
+
 struct State {
     cfg: UpstreamConfig,
     process_start: u64,
@@ -201,11 +221,7 @@
             cfg,
             process_start,
             started_at: Instant::now(),
-            behaviour: Mutex::new(Behaviour {
-                service_time_percent: 100,
-                failing: false,
-                leaving: false,
-            }),
+            behaviour: Mutex::new(Behaviour::normal()),
             slots: Semaphore::new(slots),
             in_flight: AtomicU64::new(0),
             stats: Mutex::default(),
@@ -317,10 +333,23 @@
         let response_body = vec![b'x'; self.cfg.response_bytes];
         let mut response = Response::new(Full::from(response_body));
         *response.status_mut() = status;
+        self.write_signals(response.headers_mut());
         response.headers_mut().insert("x-answer-to", echoed_correlation_id(&parts.headers));
         response
     }
 
+    /// Writes the headers in which the upstream reports its rate limit and that it is leaving.
+    fn write_signals(&self, map: &mut HeaderMap) {
+        let behaviour = self.behaviour();
+        if behaviour.rate_limit_milli > 0 {
+            let limit = f64::from(behaviour.rate_limit_milli) / 1_000.0;
+            headers::set(map, headers::RATE_LIMIT, limit);
+        }
+        if behaviour.says_leaving {
+            headers::set(map, headers::LEAVING, 1);
+        }
+    }
+
     async fn serve_in_slot(&self, map: &HeaderMap) -> StatusCode {
         // Requests without a slot wait here, and the number of them slows all requests down.
         let Ok(_permit) = self.slots.acquire().await else {
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -8,6 +8,7 @@
 //! | [`TICKET`] | both | ticket of a request that must never run twice |
 //! | [`DEADLINE`] | caller to node, node to upstream | time left until the deadline, in milliseconds |
 //! | [`CONTEXT`] | node to upstream, upstream to node | links a call of the upstream to the request it serves |
+//! | [`RATE_LIMIT`], [`LEAVING`] | response of the upstream | rate limit that the upstream names, and that it is leaving |
 //! | [`OUTCOME`], [`REASON`] | response | outcome of the request, and the reason |
 //! | [`REVISION`] | response | revision of the configuration in force |
 //!
@@ -29,6 +30,11 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("snipehollow-deadline-ms");
 /// Opaque token that links a call made by an upstream to the request that it is serving.
 pub const CONTEXT: HeaderName = HeaderName::from_static("snipehollow-context");
+/// In a response of an upstream: requests per second that it accepts from all hosts together, as a
+/// decimal number. Holds until a response does not carry it.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("snipehollow-rate-limit");
+/// In a response of an upstream: `1` if the upstream is leaving.
+pub const LEAVING: HeaderName = HeaderName::from_static("snipehollow-leaving");
 /// Outcome of the request: whether it ran.
 pub const OUTCOME: HeaderName = HeaderName::from_static("snipehollow-outcome");
 /// Reason code of the outcome.
@@ -61,7 +67,7 @@
 pub const ORIGIN: HeaderName = HeaderName::from_static("snipehollow-origin");
 
 /// All headers of this project. A node forwards other headers unchanged, except hop-by-hop ones.
-static PROJECT_HEADERS: [HeaderName; 20] = [
+static PROJECT_HEADERS: [HeaderName; 22] = [
     REQUEST_ID,
     CALLER,
     ATTEMPT,
@@ -71,6 +77,8 @@
     OUTCOME,
     REASON,
     REVISION,
+    RATE_LIMIT,
+    LEAVING,
     SECRET,
     CLASS,
     ALLOWANCE,
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -169,7 +169,7 @@
 fn upstream_that_fails_fast_does_not_attract_traffic() {
     let mesh = mesh_of(&[("zone-a", "region-a")], 3);
     let broken = mesh.plan.hosts.iter().find(|host| host.name == "pricing-1").cloned().unwrap();
-    let behaviour = Behaviour { service_time_percent: 100, failing: true, leaving: false };
+    let behaviour = Behaviour { failing: true, ..Behaviour::normal() };
     mesh.set_behaviour(&broken, &behaviour).unwrap();
     let caller = Caller::new();
     let entry = mesh.plan.hosts[0].caller_addr();
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -39,7 +39,7 @@
     let mesh = small_mesh();
     let caller = Caller::new();
     let leaving = mesh.plan.hosts.iter().find(|host| host.name == "pricing-1").cloned().unwrap();
-    let behaviour = Behaviour { service_time_percent: 100, failing: false, leaving: true };
+    let behaviour = Behaviour { leaving: true, ..Behaviour::normal() };
     mesh.set_behaviour(&leaving, &behaviour).unwrap();
     mesh.wait_until("the gate is leaving or removed", LIMIT, || {
         mesh.state(&leaving).is_ok_and(|state| state.gate.is_none_or(|gate| gate.leaving))
