--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod configuration;
 mod failures;
 mod path;
+mod signals;
 mod stops;
 mod support;
--- /dev/null
+++ b/tests/all/signals.rs
@@ -0,0 +1,150 @@
+//! Rate limits that upstreams name in their responses, and upstreams that say they are leaving.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use snipehollow_standins::load::{LoadConfig, Phase, RequestKind};
+use snipehollow_standins::mesh::Mesh;
+use snipehollow_standins::upstream::Behaviour;
+
+use crate::support::{Caller, LIMIT, small_mesh, small_mesh_with};
+
+/// Rate limit that the tests name, in requests per second.
+const RATE: u32 = 2;
+/// Time in which arrivals are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests that may arrive at a limited upstream in [`WINDOW`]: one and a half times what the
+/// limit allows, and five.
+const ALLOWED: u64 = RATE as u64 * WINDOW.as_secs() * 3 / 2 + 5;
+
+fn started(mesh: &Mesh, host: usize) -> u64 {
+    mesh.upstream_stats(&mesh.plan.hosts[host]).unwrap().started
+}
+
+/// Reads of `pricing`, far beyond what the limited upstreams accept.
+fn reads(targets: Vec<SocketAddr>, length: Duration) -> LoadConfig {
+    LoadConfig {
+        targets,
+        phases: vec![Phase { rate: 200.0, duration: length }],
+        kinds: RequestKind::parse("read,GET,/pricing/quote,1,2000").into_iter().collect(),
+        immediate_retries: 0,
+        seed: 7,
+    }
+}
+
+fn hosts_of(mesh: &Mesh, service: &str) -> Vec<usize> {
+    let hosts = mesh.plan.hosts.iter().enumerate();
+    hosts.filter(|(_, host)| host.name.starts_with(service)).map(|(index, _)| index).collect()
+}
+
+/// Sets the behaviour of all upstreams of `pricing`.
+fn set_all(mesh: &Mesh, behaviour: &Behaviour) {
+    for host in hosts_of(mesh, "pricing") {
+        mesh.set_behaviour(&mesh.plan.hosts[host], behaviour).unwrap();
+    }
+}
+
+/// Returns the number of requests that arrive at each upstream of `pricing` in [`WINDOW`], from
+/// half a second after the start of a load at all nodes of `orders`.
+fn arrivals(mesh: &Mesh) -> Vec<u64> {
+    let pricing = hosts_of(mesh, "pricing");
+    let entries =
+        hosts_of(mesh, "orders").iter().map(|host| mesh.plan.hosts[*host].caller_addr()).collect();
+    let warm_up = Duration::from_millis(500);
+    let load = reads(entries, warm_up + WINDOW + warm_up);
+    let runner = thread::spawn(move || Caller::new().load(&load));
+    thread::sleep(warm_up);
+    let before: Vec<u64> = pricing.iter().map(|host| started(mesh, *host)).collect();
+    thread::sleep(WINDOW);
+    let after = pricing.iter().map(|host| started(mesh, *host));
+    let arrived = after.zip(before).map(|(after, before)| after - before).collect();
+    runner.join().unwrap();
+    arrived
+}
+
+/// Guards against upstreams that get more requests than the limit which they name, summed over all
+/// entry nodes, and against a limit that outlasts the last response which names it.
+#[test]
+fn named_rate_limit_bounds_the_requests_of_all_entry_nodes() {
+    let mesh = small_mesh();
+    let limited = Behaviour { rate_limit_milli: RATE * 1_000, ..Behaviour::normal() };
+    set_all(&mesh, &limited);
+    for arrived in arrivals(&mesh) {
+        assert!(arrived <= ALLOWED, "{arrived} requests in {WINDOW:?}, {ALLOWED} allowed");
+        assert!(arrived >= u64::from(RATE), "{arrived} requests in {WINDOW:?}: hardly used");
+    }
+    set_all(&mesh, &Behaviour::normal());
+    thread::sleep(Duration::from_secs(3));
+    for arrived in arrivals(&mesh) {
+        assert!(arrived > ALLOWED, "{arrived} requests in {WINDOW:?} after the limit has ended");
+    }
+}
+
+/// Guards against a restarted node that forgets the limit of its upstream, while the entry nodes
+/// that passed on responses naming it keep sending requests.
+#[test]
+fn restarted_node_keeps_to_the_rate_limit_that_entry_nodes_know() {
+    let mut mesh = small_mesh_with("admission = slots\n");
+    // The first responses come a second after the restart, when all slots may be taken already.
+    let limited = Behaviour {
+        rate_limit_milli: RATE * 1_000,
+        service_time_percent: 20_000,
+        ..Behaviour::normal()
+    };
+    set_all(&mesh, &limited);
+    arrivals(&mesh);
+    for host in hosts_of(&mesh, "pricing") {
+        mesh.node(host).unwrap().kill();
+        mesh.start_node(host).unwrap();
+    }
+    mesh.wait_ready(1).unwrap();
+    for arrived in arrivals_since_restart(&mesh) {
+        assert!(arrived <= ALLOWED, "{arrived} requests in {WINDOW:?}, {ALLOWED} allowed");
+    }
+}
+
+/// Like [`arrivals`], but counted from the start of the load.
+fn arrivals_since_restart(mesh: &Mesh) -> Vec<u64> {
+    let pricing = hosts_of(mesh, "pricing");
+    let entries =
+        hosts_of(mesh, "orders").iter().map(|host| mesh.plan.hosts[*host].caller_addr()).collect();
+    let load = reads(entries, WINDOW);
+    let before: Vec<u64> = pricing.iter().map(|host| started(mesh, *host)).collect();
+    let runner = thread::spawn(move || Caller::new().load(&load));
+    thread::sleep(WINDOW);
+    let after = pricing.iter().map(|host| started(mesh, *host));
+    let arrived = after.zip(before).map(|(after, before)| after - before).collect();
+    runner.join().unwrap();
+    arrived
+}
+
+/// Guards against requests that reach an upstream after a response of it has said that it is
+/// leaving, even though its announcements still say that it serves.
+#[test]
+fn upstream_that_says_it_is_leaving_gets_no_new_requests() {
+    let mut mesh = small_mesh();
+    let leaving = Behaviour { says_leaving: true, ..Behaviour::normal() };
+    let victim = hosts_of(&mesh, "pricing")[0];
+    mesh.set_behaviour(&mesh.plan.hosts[victim], &leaving).unwrap();
+    let caller = Caller::new();
+    let entry = mesh.plan.hosts[hosts_of(&mesh, "orders")[0]].caller_addr();
+    let before = started(&mesh, victim);
+    let deadline = Instant::now() + LIMIT;
+    while started(&mesh, victim) == before {
+        assert!(Instant::now() < deadline, "no request reached the upstream");
+        assert!(caller.get(entry, "/pricing/quote").is_ok());
+    }
+    let told = started(&mesh, victim);
+    let read_often = |mesh: &Mesh| {
+        for _ in 0..200 {
+            assert!(caller.get(entry, "/pricing/quote").is_ok());
+        }
+        started(mesh, victim)
+    };
+    assert_eq!(read_often(&mesh), told, "requests reached the leaving upstream");
+    mesh.node(victim).unwrap().kill();
+    mesh.start_node(victim).unwrap();
+    mesh.wait_ready(1).unwrap();
+    assert_eq!(read_often(&mesh), told, "requests reached it after a restart of its node");
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -27,17 +27,27 @@
 
 /// Starts a mesh of two zones with two instances of each service in each zone.
 pub(crate) fn small_mesh() -> Mesh {
-    mesh_of(&[("zone-a", "region-a"), ("zone-b", "region-a")], 4)
+    small_mesh_with("")
+}
+
+/// Starts the same mesh with these lines in section `[run]` of each node's settings.
+pub(crate) fn small_mesh_with(run_settings: &str) -> Mesh {
+    start_mesh(&[("zone-a", "region-a"), ("zone-b", "region-a")], 4, run_settings)
 }
 
 /// Starts a mesh of the services `orders` and `pricing`, applies [`SHEET`] and waits until all
 /// nodes have it in force. `instances` is the number of instances of each service over all zones.
 pub(crate) fn mesh_of(zones: &[(&str, &str)], instances: usize) -> Mesh {
+    start_mesh(zones, instances, "")
+}
+
+fn start_mesh(zones: &[(&str, &str)], instances: usize, run_settings: &str) -> Mesh {
     let services = vec![
         ServicePlan::new("orders", instances, 20, 5).with_downstream_call("/pricing/price"),
         ServicePlan::new("pricing", instances, 20, 5),
     ];
-    let plan = MeshPlan::new(zones, services);
+    let mut plan = MeshPlan::new(zones, services);
+    plan.run_settings.push_str(run_settings);
     let mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
     let applied = mesh.apply_sheet(SHEET).unwrap();
     assert!(
