Keep to the rate limit that an upstream names

With real processes, 200 requests of all entry nodes in 4 s at a limit of 2 a second (17 allowed).

Cause: no node read the limit, so the rate followed demand and slots.

The gate is the only way to its upstream, so it alone sees the sum over all hosts: a token bucket in the gate now holds requests back at the named rate, with a quarter of a second of burst. Requests that would get their turn too late are refused on arrival, and the load level and the capacity that the gate reports shrink to what the rate keeps busy, so that entry nodes choose other hosts and shed at the root. At least one request in two seconds is sent, since only a response can show that a limit of 0 has ended. A task wakes for the next token; it runs only while requests wait for one.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::{
-    AdaptiveLimit, LimitConfig, LimitSample, LoadLevel, Priority, RankedQueue, Tier, TokenBucket,
-    WaitingRequest,
+    AdaptiveLimit, GateConfig, LimitChange, LimitConfig, LimitSample, LoadLevel, Priority,
+    RankedQueue, Tier, TokenBucket, UpstreamLimit, WaitingRequest,
 };
 use crate::class::ClassPolicy;
 use crate::collections::FastMap;
@@ -16,49 +16,6 @@
 use crate::reason::Reason;
 use crate::time::Timestamp;
 
-/// Configuration of a [`Gate`].
-#[derive(Clone, Debug)]
-pub struct GateConfig {
-    /// Maximum number of waiting requests per announced slot.
-    pub queue_per_slot: u32,
-    /// Whether the concurrency limit adapts; otherwise it is `slot_share` of the announced slots.
-    pub adaptive: bool,
-    /// Share of the announced slots, from 0 to 1, that a fixed limit allows in flight. Ignored
-    /// if the limit adapts.
-    pub slot_share: f64,
-}
-
-impl GateConfig {
-    /// Creates the default configuration: four waiting requests per slot and an adaptive limit.
-    pub fn new() -> GateConfig {
-        GateConfig { queue_per_slot: 4, adaptive: true, slot_share: 1.0 }
-    }
-
-    /// Sets whether the concurrency limit adapts.
-    pub fn with_adaptive(mut self, adaptive: bool) -> GateConfig {
-        self.adaptive = adaptive;
-        self
-    }
-
-    /// Sets the share of the announced slots that a fixed limit allows in flight.
-    pub fn with_slot_share(mut self, slot_share: f64) -> GateConfig {
-        self.slot_share = slot_share;
-        self
-    }
-
-    /// Sets the maximum number of waiting requests per announced slot.
-    pub fn with_queue_per_slot(mut self, queue_per_slot: u32) -> GateConfig {
-        self.queue_per_slot = queue_per_slot;
-        self
-    }
-}
-
-impl Default for GateConfig {
-    fn default() -> GateConfig {
-        GateConfig::new()
-    }
-}
-
 /// A request that arrives at the gate.
 #[derive(Clone, Debug)]
 pub struct Arrival<'a> {
@@ -124,7 +81,8 @@
 
 /// Decides which request an upstream runs next and which one is refused.
 ///
-/// All requests to the upstream pass through its gate, so `in_flight` is exact.
+/// All requests to the upstream pass through its gate, so `in_flight` is exact, and the gate alone
+/// can keep to the rate limit that the upstream names for all hosts together.
 #[derive(Clone, Debug)]
 pub struct Gate {
     cfg: GateConfig,
@@ -134,6 +92,7 @@
     rate_buckets: FastMap<ClassName, TokenBucket>,
     service_times: FastMap<ClassName, Ewma>,
     mean_service_time: Ewma,
+    rate_limit: UpstreamLimit,
     leaving: bool,
     stats: GateStats,
 }
@@ -149,6 +108,7 @@
             rate_buckets: FastMap::default(),
             service_times: FastMap::default(),
             mean_service_time: Ewma::default(),
+            rate_limit: UpstreamLimit::default(),
             leaving: false,
             stats: GateStats::default(),
         }
@@ -177,12 +137,38 @@
     /// These are the announced slots if the limit adapts: it starts far below what the upstream
     /// can run.
     pub fn capacity(&self) -> u32 {
-        if self.cfg.adaptive { self.limit.slots() } else { self.limit() }
+        self.within_rate(if self.cfg.adaptive { self.limit.slots() } else { self.limit() })
     }
 
-    /// Returns the expected time until a slot is free for a request behind all waiting ones.
+    /// Returns the expected time until a request behind all waiting ones can be dispatched.
     pub fn expected_wait(&self) -> Duration {
-        self.mean_service_time().mul_f64(self.queued() as f64 / f64::from(self.limit().max(1)))
+        self.expected_wait_behind(self.queued() as u32)
+    }
+
+    /// Returns the rate limit that the upstream names, in requests per second; `None` if it names
+    /// none.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.per_second()
+    }
+
+    /// Records the rate limit that a response names, in requests per second. The response belongs
+    /// to a request that was dispatched at `dispatched`.
+    pub fn observe_rate_limit(
+        &mut self,
+        now: Timestamp,
+        dispatched: Timestamp,
+        named: Option<f64>,
+    ) -> Option<LimitChange> {
+        self.rate_limit.observe(now, dispatched, named)
+    }
+
+    /// Returns the time until the rate limit allows the next waiting request to be dispatched;
+    /// `None` if none waits or the rate limit does not hold it back.
+    pub fn time_to_next_dispatch(&self, now: Timestamp) -> Option<Duration> {
+        if self.queue.is_empty() || self.running.len() >= self.limit() as usize {
+            return None;
+        }
+        self.rate_limit.time_to_tokens(now, 1).filter(|wait| !wait.is_zero())
     }
 
     /// Returns the counters since the gate was created.
@@ -246,7 +232,7 @@
             return vec![self.refuse(arrival.id, Reason::DeadlinePassed)];
         }
         let waiting = self.new_waiting_request(now, arrival);
-        if self.queue.is_empty() && self.has_free_slot() {
+        if self.queue.is_empty() && self.can_dispatch(now) {
             return vec![self.dispatch(now, waiting.id, waiting.class)];
         }
         if self.is_predicted_late(now, &waiting) {
@@ -287,24 +273,25 @@
         self.queue.remove(id).is_some()
     }
 
-    /// Refuses waiting requests whose deadline has passed.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Action> {
+    /// Refuses waiting requests whose deadline has passed, and dispatches those that the rate limit
+    /// allows by now.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
         let expired: Vec<TryId> =
             self.queue.iter().filter(|w| w.deadline <= now).map(|w| w.id).collect();
-        expired
-            .into_iter()
-            .map(|id| {
-                self.queue.remove(id);
-                self.refuse(id, Reason::DeadlinePassed)
-            })
-            .collect()
+        let mut actions = Vec::new();
+        for id in expired {
+            self.queue.remove(id);
+            actions.push(self.refuse(id, Reason::DeadlinePassed));
+        }
+        actions.extend(self.fill_slots(now));
+        actions
     }
 
     /// Returns the load that is reported to entry nodes.
     pub fn load_level(&self) -> LoadLevel {
         LoadLevel {
             in_flight: self.in_flight() as u32,
-            limit: self.limit(),
+            limit: self.within_rate(self.limit()),
             queued: self.queued() as u32,
             admits_rank: self.least_urgent_admitted_rank(),
         }
@@ -332,8 +319,26 @@
         (self.limit.slots() * self.cfg.queue_per_slot) as usize
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.limit() as usize
+    /// Returns whether a slot is free and the rate limit allows another request.
+    fn can_dispatch(&self, now: Timestamp) -> bool {
+        let rate_allows = self.rate_limit.time_to_tokens(now, 1).is_none_or(|wait| wait.is_zero());
+        rate_allows && self.running.len() < self.limit() as usize
+    }
+
+    /// Reduces a number of slots to those that requests occupy, on average, at the rate limit.
+    fn within_rate(&self, slots: u32) -> u32 {
+        match self.rate_limit.per_second() {
+            Some(rate) => {
+                slots.min((rate * self.mean_service_time().as_secs_f64()).ceil() as u32).max(1)
+            }
+            None => slots,
+        }
+    }
+
+    /// Returns the expected time until the last of `waiting` requests can be dispatched.
+    fn expected_wait_behind(&self, waiting: u32) -> Duration {
+        let slots = f64::from(self.within_rate(self.limit()).max(1));
+        self.mean_service_time().mul_f64(f64::from(waiting) / slots)
     }
 
     fn new_waiting_request(&mut self, now: Timestamp, arrival: &Arrival<'_>) -> WaitingRequest {
@@ -372,8 +377,9 @@
     /// Only waiting requests that would be dispatched before it count towards its wait.
     fn is_predicted_late(&self, now: Timestamp, waiting: &WaitingRequest) -> bool {
         let ahead = self.queue.count_ahead_of(waiting.priority) as u32 + 1;
-        let mean = self.mean_service_time();
-        let wait = mean.mul_f64(f64::from(ahead) / f64::from(self.limit().max(1)));
+        let wait = self
+            .expected_wait_behind(ahead)
+            .max(self.rate_limit.time_to_tokens(now, ahead).unwrap_or_default());
         let service = self.expected_service_time(&waiting.class);
         now + wait + service > waiting.deadline
     }
@@ -411,7 +417,7 @@
 
     fn fill_slots(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
-        while self.has_free_slot() {
+        while self.can_dispatch(now) {
             let Some(waiting) = self.queue.pop_first() else {
                 break;
             };
@@ -443,6 +449,7 @@
             self.running.len() + 1,
             self.limit.slots()
         );
+        self.rate_limit.take(now);
         let limit_reached = self.running.len() + 1 >= self.limit() as usize;
         let replaced = self.running.insert(id, Running { class, started: now, limit_reached });
         invariant!(replaced.is_none(), "try {} dispatched twice", id.0);
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -10,6 +10,7 @@
 //! wastes the work already done for the tree.
 
 mod gate;
+mod gate_config;
 mod level;
 mod limit;
 mod queue;
@@ -17,7 +18,8 @@
 mod shedding;
 mod upstream_limit;
 
-pub use gate::{Action, Arrival, Completion, Gate, GateConfig, GateStats};
+pub use gate::{Action, Arrival, Completion, Gate, GateStats};
+pub use gate_config::GateConfig;
 pub use level::LoadLevel;
 pub use limit::{AdaptiveLimit, LimitConfig, LimitSample};
 pub use queue::{Priority, RankedQueue, Tier, WaitingRequest};
--- a/crates/core/src/admission/upstream_limit.rs
+++ b/crates/core/src/admission/upstream_limit.rs
@@ -1,7 +1,17 @@
 //! Rate limit that an upstream names in its responses.
 
+use std::time::Duration;
+
 use crate::time::Timestamp;
 
+/// Time for which unused requests may be saved up and sent at once. Far below the seconds over
+/// which an upstream notices that it gets too much, but enough for the gate to use the limit fully
+/// although requests arrive unevenly.
+const BURST_SECONDS: f64 = 0.25;
+/// Lowest rate at which requests are sent. A response is the only way to learn that an upstream
+/// which accepts nothing, or almost nothing, has recovered.
+const MIN_PER_SECOND: f64 = 0.5;
+
 /// Change of the rate limit that a response brought.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
@@ -13,7 +23,8 @@
     Ended,
 }
 
-/// Rate limit that an upstream names in its responses, for as long as it names it.
+/// Rate limit that an upstream names in its responses, for as long as it names it, and the token
+/// bucket that enforces it.
 ///
 /// Responses may be handled in another order than they were sent. So the limit ends only with a
 /// response to a request that was dispatched after the last response that named it.
@@ -34,6 +45,10 @@
     per_second: Option<f64>,
     /// Time at which the last response that named the limit was received.
     named_at: Timestamp,
+    /// Requests that may be sent at once; below 0 after requests that were sent before the limit
+    /// was known.
+    tokens: f64,
+    refilled_at: Timestamp,
 }
 
 impl UpstreamLimit {
@@ -50,14 +65,14 @@
         dispatched: Timestamp,
         named: Option<f64>,
     ) -> Option<LimitChange> {
-        let before = self.per_second;
         if named.is_none() && dispatched <= self.named_at {
             return None;
         }
         if named.is_some() {
             self.named_at = now;
         }
-        self.per_second = named;
+        let before = self.per_second;
+        self.set(now, named);
         match (before, named) {
             (None, Some(limit)) => Some(LimitChange::Started(limit)),
             (Some(before), Some(limit)) if before != limit => Some(LimitChange::Changed(limit)),
@@ -65,4 +80,58 @@
             _ => None,
         }
     }
+
+    /// Returns the time until `count` requests may be sent; `None` without a limit.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use snipehollow_core::admission::UpstreamLimit;
+    /// use snipehollow_core::time::Timestamp;
+    ///
+    /// let mut limit = UpstreamLimit::default();
+    /// limit.observe(Timestamp::ZERO, Timestamp::ZERO, Some(2.0));
+    /// assert_eq!(limit.time_to_tokens(Timestamp::ZERO, 1), Some(Duration::ZERO));
+    /// limit.take(Timestamp::ZERO);
+    /// assert_eq!(limit.time_to_tokens(Timestamp::ZERO, 1), Some(Duration::from_millis(500)));
+    /// ```
+    pub fn time_to_tokens(&self, now: Timestamp, count: u32) -> Option<Duration> {
+        let rate = effective(self.per_second?);
+        let missing = f64::from(count) - self.tokens_at(now, rate);
+        Some(Duration::from_secs_f64((missing / rate).max(0.0)))
+    }
+
+    /// Counts a request that is sent.
+    pub fn take(&mut self, now: Timestamp) {
+        if let Some(limit) = self.per_second {
+            self.tokens = self.tokens_at(now, effective(limit)) - 1.0;
+            self.refilled_at = now;
+        }
+    }
+
+    /// Changes the limit. The tokens saved so far are kept up to the new burst; a new limit starts
+    /// with one.
+    fn set(&mut self, now: Timestamp, named: Option<f64>) {
+        if let Some(limit) = named {
+            let saved = self.per_second.map_or(1.0, |old| self.tokens_at(now, effective(old)));
+            self.tokens = saved.min(burst(effective(limit)));
+            self.refilled_at = now;
+        }
+        self.per_second = named;
+    }
+
+    fn tokens_at(&self, now: Timestamp, rate: f64) -> f64 {
+        let passed = now.since(self.refilled_at).as_secs_f64();
+        (self.tokens + passed * rate).min(burst(rate))
+    }
+}
+
+/// Returns the rate at which requests are sent under a named limit, in requests per second.
+fn effective(named: f64) -> f64 {
+    named.max(MIN_PER_SECOND)
+}
+
+/// Returns how many requests may be sent at once at a rate.
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(1.0)
 }
--- a/crates/fuzzing/src/oracles/gate.rs
+++ b/crates/fuzzing/src/oracles/gate.rs
@@ -95,7 +95,7 @@
                 Ok(())
             }
             GateOp::Expire => {
-                let actions = self.gate.expire(self.now);
+                let actions = self.gate.tick(self.now);
                 self.record_actions(&actions, None)
             }
             GateOp::Leave => {
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -24,7 +24,8 @@
             RateSignal::Named(limit) => Some(Some(limit)),
             RateSignal::Unreadable => None,
         };
-        let change = named.and_then(|named| upstream.rate_limit.observe(now, dispatched, named));
+        let change =
+            named.and_then(|named| upstream.gate.observe_rate_limit(now, dispatched, named));
         let starts_leaving = signals.leaving && !upstream.said_leaving;
         upstream.said_leaving |= signals.leaving;
         let instance = upstream.instance.as_ref();
@@ -41,6 +42,6 @@
 
     /// Returns the rate limit that the local upstream names, in requests per second.
     pub(crate) fn rate_limit(&self) -> Option<f64> {
-        self.upstream.as_ref()?.rate_limit.per_second()
+        self.upstream.as_ref()?.gate.rate_limit()
     }
 }
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -80,6 +80,8 @@
     pub(super) pass_through_in_flight: u32,
     /// Tries that the upstream is running, with the probability that each is repeated work.
     pub(super) active_runs: ActiveRuns<TryId>,
+    /// Whether a task is waiting to dispatch tries that the upstream's rate limit holds back.
+    pub(super) dispatch_scheduled: bool,
     /// Retry budget of the local gate.
     pub(super) retry_budget: RetryBudget,
     pub(super) shedding: SheddingTable,
@@ -133,6 +135,7 @@
             contexts: ContextTable::new(context_key),
             pass_through_in_flight: 0,
             active_runs: ActiveRuns::new(),
+            dispatch_scheduled: false,
             retry_budget: RetryBudget::new(),
             shedding: SheddingTable::default(),
             departures: Departures::default(),
@@ -424,7 +427,7 @@
         let Some(upstream) = &mut self.upstream else {
             return;
         };
-        let actions = upstream.gate.expire(now);
+        let actions = upstream.gate.tick(now);
         let expired = upstream.expires <= now;
         self.execute_gate_actions(actions);
         if expired {
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -1,6 +1,7 @@
 //! Tries at the local gate, from arrival to end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use snipehollow_config::settings::AdmissionMode;
 use snipehollow_core::admission::{Action, Arrival, Completion, LoadLevel};
@@ -73,6 +74,28 @@
         Admission::Wait(id, rx)
     }
 
+    /// Returns the time until the upstream's rate limit allows the next waiting try, for a task that
+    /// then calls [`HostState::dispatch_waiting`]; `None` if none waits for it, or if there is such
+    /// a task already.
+    pub(crate) fn schedule_dispatch(&mut self, now: Timestamp) -> Option<Duration> {
+        if self.dispatch_scheduled {
+            return None;
+        }
+        let wait = self.upstream.as_ref()?.gate.time_to_next_dispatch(now)?;
+        self.dispatch_scheduled = true;
+        Some(wait)
+    }
+
+    /// Dispatches the waiting tries that the upstream's rate limit allows by now.
+    ///
+    /// Returns the time until the next one is allowed; `None` if the task need not continue.
+    pub(crate) fn dispatch_waiting(&mut self, now: Timestamp) -> Option<Duration> {
+        let actions = self.upstream.as_mut().map(|upstream| upstream.gate.tick(now));
+        self.execute_gate_actions(actions.unwrap_or_default());
+        self.dispatch_scheduled = false;
+        self.schedule_dispatch(now)
+    }
+
     /// Charges a retry to the retry budget, or credits the budget for a first try.
     ///
     /// Returns false if the budget does not allow the retry.
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use snipehollow_core::admission::{Gate, GateConfig, UpstreamLimit};
+use snipehollow_core::admission::{Gate, GateConfig};
 use snipehollow_core::ids::InstanceId;
 use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
 use snipehollow_core::time::Timestamp;
@@ -22,8 +22,6 @@
     /// Process start number of the upstream; an announcement with a lower one is outdated.
     pub(crate) start: u64,
     pub(crate) instance: Option<InstanceId>,
-    /// Rate limit that the responses of the upstream name.
-    pub(crate) rate_limit: UpstreamLimit,
     /// Whether a response of the upstream said that it is leaving.
     pub(crate) said_leaving: bool,
     /// Sequence number of the newest announcement; 0 if announcements are not numbered.
@@ -45,7 +43,6 @@
             addr: announcement.addr,
             start: announcement.start,
             instance: announcement.instance.clone(),
-            rate_limit: UpstreamLimit::default(),
             said_leaving: false,
             sequence: announcement.sequence,
             expires: now + ttl(announcement),
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -176,6 +176,7 @@
     let Admission::Wait(id, rx) = admission else {
         return NodeResponse::refusal(Reason::NoUpstream).with_unspent(granted);
     };
+    schedule_dispatch(traffic);
     let mut guard = TryGuard::new(traffic, id);
     match await_decision(traffic, call, rx).await {
         GateDecision::Refuse(reason) => {
@@ -188,6 +189,26 @@
     }
 }
 
+/// Starts a task that dispatches the waiting tries one by one as the upstream's rate limit allows,
+/// if there are any and it does not run yet.
+fn schedule_dispatch(traffic: &TrafficContext) {
+    let now = traffic.shared.clock.now();
+    let Some(mut wait) = traffic.shared.host().schedule_dispatch(now) else {
+        return;
+    };
+    let shared = Arc::clone(&traffic.shared);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(wait).await;
+            let now = shared.clock.now();
+            match shared.host().dispatch_waiting(now) {
+                Some(next) => wait = next,
+                None => return,
+            }
+        }
+    });
+}
+
 async fn await_decision(
     traffic: &TrafficContext,
     call: &Call,
