Entry nodes tell a restarted gate the rate limit of its upstream

What upstreams saw: after a restart of its node, an upstream that names 2 requests a second got 25 in 4 s (17 allowed), since the gate dispatched to all slots until the first response came.

Cause: the limit was known only to the process that the restart ended, although the entry nodes that had passed on responses naming it were still there.

The gate now reports the limit, with the id and the start number of the upstream's process, in its responses, and each entry node sends it back with its requests to that host. So each request of a node that knows the limit makes the gate know it before the request is dispatched. Of several reports the lowest one holds, until the gate observes a response itself; a report about an earlier process is ignored. An entry node forgets a status when a try that it sent later brings a response without one, so that a late response cannot erase it.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -162,6 +162,12 @@
         self.rate_limit.observe(now, dispatched, named)
     }
 
+    /// Adopts a rate limit that an entry node learned before this gate was created, unless a
+    /// response of the upstream was observed already. Returns whether the limit changed.
+    pub fn adopt_rate_limit(&mut self, now: Timestamp, reported: f64) -> bool {
+        self.rate_limit.adopt(now, reported)
+    }
+
     /// Returns the time until the rate limit allows the next waiting request to be dispatched;
     /// `None` if none waits or the rate limit does not hold it back.
     pub fn time_to_next_dispatch(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -17,6 +17,7 @@
 mod rate;
 mod shedding;
 mod upstream_limit;
+mod upstream_status;
 
 pub use gate::{Action, Arrival, Completion, Gate, GateStats};
 pub use gate_config::GateConfig;
@@ -26,3 +27,4 @@
 pub use rate::TokenBucket;
 pub use shedding::{DemandMeter, ReportedLevel, SheddingLevels, admitted_share};
 pub use upstream_limit::{LimitChange, UpstreamLimit};
+pub use upstream_status::{UNKNOWN_PROCESS_START, UpstreamStatus};
--- a/crates/core/src/admission/upstream_limit.rs
+++ b/crates/core/src/admission/upstream_limit.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLimit {
     per_second: Option<f64>,
+    /// Whether a response of the upstream was observed, so that other nodes' reports are outdated.
+    observed: bool,
     /// Time at which the last response that named the limit was received.
     named_at: Timestamp,
     /// Requests that may be sent at once; below 0 after requests that were sent before the limit
@@ -71,6 +73,7 @@
         if named.is_some() {
             self.named_at = now;
         }
+        self.observed = true;
         let before = self.per_second;
         self.set(now, named);
         match (before, named) {
@@ -81,6 +84,18 @@
         }
     }
 
+    /// Adopts a limit that another node reports, unless a response of the upstream was observed
+    /// already. Of several reported limits the lowest one holds until then.
+    ///
+    /// Returns whether the limit in force changed.
+    pub fn adopt(&mut self, now: Timestamp, reported: f64) -> bool {
+        if self.observed || self.per_second.is_some_and(|limit| limit <= reported) {
+            return false;
+        }
+        self.set(now, Some(reported));
+        true
+    }
+
     /// Returns the time until `count` requests may be sent; `None` without a limit.
     ///
     /// ```
--- /dev/null
+++ b/crates/core/src/admission/upstream_status.rs
@@ -0,0 +1,75 @@
+//! What an upstream said about itself in its responses, as nodes tell each other.
+
+use std::fmt;
+
+use crate::ids::InstanceId;
+
+/// Start number of an upstream process whose announcement is not known yet.
+pub const UNKNOWN_PROCESS_START: u64 = 0;
+
+/// What a process of an upstream said about itself in its responses.
+///
+/// The gate reports it to entry nodes with its responses. Each entry node sends it back with its
+/// requests, so that a gate which was restarted knows it before it dispatches them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamStatus {
+    /// Start number of the process, or [`UNKNOWN_PROCESS_START`].
+    pub start: u64,
+    /// Id of the process; `None` if it has none.
+    pub instance: Option<InstanceId>,
+    /// Rate limit that it named, in requests per second; `None` if it named none.
+    pub rate_limit: Option<f64>,
+}
+
+impl UpstreamStatus {
+    /// Returns whether the status may be about the process with this start number and id. Unknown
+    /// start numbers match any.
+    pub fn may_describe(&self, start: u64, instance: Option<&InstanceId>) -> bool {
+        let start_matches = self.start == start
+            || self.start == UNKNOWN_PROCESS_START
+            || start == UNKNOWN_PROCESS_START;
+        start_matches && self.instance.as_ref() == instance
+    }
+
+    /// Parses the header form, `start/limit/instance`; `None` if the text is malformed.
+    ///
+    /// `limit` and `instance` are empty if there is none.
+    ///
+    /// ```
+    /// use snipehollow_core::admission::UpstreamStatus;
+    ///
+    /// let status = UpstreamStatus::parse("17/2.5/i-1").unwrap();
+    /// assert_eq!(status.rate_limit, Some(2.5));
+    /// assert_eq!(status.to_string(), "17/2.5/i-1");
+    /// assert_eq!(UpstreamStatus::parse("17//").unwrap().instance, None);
+    /// assert_eq!(UpstreamStatus::parse("17/-1/i-1"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<UpstreamStatus> {
+        let mut fields = text.split('/');
+        let start = fields.next()?.parse().ok()?;
+        let rate_limit = match fields.next()? {
+            "" => None,
+            limit => {
+                Some(limit.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)?)
+            }
+        };
+        let instance = match fields.next()? {
+            "" => None,
+            id => Some(InstanceId::new(id).ok()?),
+        };
+        if fields.next().is_some() {
+            return None;
+        }
+        Some(UpstreamStatus { start, instance, rate_limit })
+    }
+}
+
+impl fmt::Display for UpstreamStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/", self.start)?;
+        if let Some(limit) = self.rate_limit {
+            write!(f, "{limit}")?;
+        }
+        write!(f, "/{}", self.instance.as_ref().map_or("", |id| id.as_str()))
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -9,10 +9,12 @@
 mod link;
 mod router;
 mod stats;
+mod statuses;
 mod weighted;
 
 pub use latency::LatencyStats;
 pub use link::LinkBudget;
 pub use router::{Candidate, Distance, FinishedTry, Route, RouteQuery, Router, RouterConfig};
 pub use stats::{HostStats, TryResult};
+pub use statuses::UpstreamStatuses;
 pub use weighted::WeightedChoice;
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -17,4 +17,3 @@
 pub(crate) use state::HostState;
 pub(crate) use tickets::{StoredResponse, TicketAction};
 pub(crate) use tries::{Admission, GateDecision, StartedTry};
-pub(crate) use upstream::UNKNOWN_PROCESS_START;
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -1,11 +1,14 @@
-//! What the local upstream says about itself in its responses.
+//! What upstreams say about themselves in their responses.
 
-use snipehollow_core::admission::LimitChange;
+use snipehollow_core::admission::{LimitChange, UpstreamStatus};
+use snipehollow_core::ids::HostName;
+use snipehollow_core::reason::Reason;
 use snipehollow_core::time::Timestamp;
 
 use super::state::HostState;
 use crate::adapters::{RateSignal, UpstreamSignals};
 use crate::logging::decisions;
+use crate::traffic::NodeResponse;
 
 impl HostState {
     /// Records the signals in a response of the local upstream to a try that was dispatched at
@@ -40,6 +43,57 @@
         }
     }
 
+    /// Returns what the local upstream said about itself, to report to an entry node; `None` if it
+    /// said nothing.
+    pub(crate) fn local_status(&self) -> Option<UpstreamStatus> {
+        let upstream = self.upstream.as_ref()?;
+        let rate_limit = Some(upstream.gate.rate_limit()?);
+        Some(UpstreamStatus {
+            start: upstream.start,
+            instance: upstream.instance.clone(),
+            rate_limit,
+        })
+    }
+
+    /// Adopts what an entry node knows about the local upstream, if this node does not know it
+    /// itself, for example because it was restarted.
+    pub(crate) fn adopt_status(&mut self, now: Timestamp, status: &UpstreamStatus) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        let instance = upstream.instance.as_ref();
+        if !status.may_describe(upstream.start, instance) {
+            return;
+        }
+        if let Some(limit) = status.rate_limit
+            && upstream.gate.adopt_rate_limit(now, limit)
+        {
+            decisions::log_adopted_rate_limit(instance, limit);
+        }
+    }
+
+    /// Returns what the entry node knows about the upstream on a host.
+    pub(crate) fn known_status(&self, now: Timestamp, host: &HostName) -> Option<UpstreamStatus> {
+        self.upstream_statuses.get(now, host).cloned()
+    }
+
+    /// Records what the response to a try sent at `sent` reports about the upstream on its host.
+    pub(crate) fn record_status(
+        &mut self,
+        now: Timestamp,
+        sent: Timestamp,
+        host: &HostName,
+        response: &NodeResponse,
+    ) {
+        match &response.upstream_status {
+            Some(status) => self.upstream_statuses.record(now, host, status.clone()),
+            None if response.reason == Reason::Completed => {
+                self.upstream_statuses.record_absent(sent, host);
+            }
+            None => {}
+        }
+    }
+
     /// Returns the rate limit that the local upstream names, in requests per second.
     pub(crate) fn rate_limit(&self) -> Option<f64> {
         self.upstream.as_ref()?.gate.rate_limit()
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -13,7 +13,9 @@
 use snipehollow_core::quarantine::{Quarantine, QuarantineEntry};
 use snipehollow_core::retry::{ActiveRuns, AllowanceTable, RetryBudget};
 use snipehollow_core::rng::Rng;
-use snipehollow_core::routing::{FinishedTry, LinkBudget, Router, RouterConfig, WeightedChoice};
+use snipehollow_core::routing::{
+    FinishedTry, LinkBudget, Router, RouterConfig, UpstreamStatuses, WeightedChoice,
+};
 use snipehollow_core::ticket::{ProcessStartId, TicketConfig, TicketKey, TicketTable};
 use snipehollow_core::time::Timestamp;
 use snipehollow_core::trace::{Step, TraceBuffer};
@@ -88,6 +90,8 @@
     /// Upstreams that announced their departure recently.
     departures: Departures,
     router: Router,
+    /// What upstreams said about themselves, by host.
+    pub(super) upstream_statuses: UpstreamStatuses,
     spent_budgets: FastMap<ServiceName, SpentBudget>,
     caller_retries: CallerRetryTable,
     /// Weighted choices among the targets of a route, by the route's class.
@@ -140,6 +144,7 @@
             shedding: SheddingTable::default(),
             departures: Departures::default(),
             router: Router::new(router_config, link),
+            upstream_statuses: UpstreamStatuses::default(),
             spent_budgets: FastMap::default(),
             caller_retries: CallerRetryTable::default(),
             target_choices: FastMap::default(),
@@ -451,6 +456,7 @@
             limit: upstream.gate.limit(),
             in_flight: upstream.gate.in_flight() as u32,
             queued: upstream.gate.queued() as u32,
+            rate_limit_milli: upstream.gate.rate_limit().map(|limit| (limit * 1_000.0) as u64),
             leaving: upstream.gate.is_leaving(),
             demand_milli: (self.shedding.demand() * 1_000.0) as u32,
             level_milli: (self.shedding.own_level() * 1_000.0) as u32,
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -3,23 +3,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use snipehollow_core::admission::{Gate, GateConfig};
+use snipehollow_core::admission::{Gate, GateConfig, UNKNOWN_PROCESS_START};
 use snipehollow_core::ids::InstanceId;
 use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::admin::Announcement;
 
-/// Process start number of an upstream that was discovered by a health check, which does not report
-/// the number. Lower than every announced one.
-pub(crate) const UNKNOWN_PROCESS_START: u64 = 0;
-
 /// An announced or discovered upstream and its gate.
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
     pub(crate) gate: Gate,
     pub(crate) info: UpstreamInfo,
     pub(crate) addr: SocketAddr,
-    /// Process start number of the upstream; an announcement with a lower one is outdated.
+    /// Process start number of the upstream; an announcement with a lower one is outdated. An
+    /// upstream that was discovered by a health check has [`UNKNOWN_PROCESS_START`], because health
+    /// checks do not report the number.
     pub(crate) start: u64,
     pub(crate) instance: Option<InstanceId>,
     /// Whether a response of the upstream said that it is leaving.
--- a/crates/node/src/logging/decisions.rs
+++ b/crates/node/src/logging/decisions.rs
@@ -83,6 +83,12 @@
     log::info!(instance, per_second; "upstream named a rate limit");
 }
 
+/// Logs that an entry node reported a rate limit of the local upstream, in requests per second.
+pub(crate) fn log_adopted_rate_limit(instance: Option<&InstanceId>, per_second: f64) {
+    let instance = instance.map_or("", |id| id.as_str());
+    log::info!(instance, per_second; "rate limit of the upstream adopted from an entry node");
+}
+
 /// Logs that the local upstream no longer names a rate limit.
 pub(crate) fn log_rate_limit_end(instance: Option<&InstanceId>) {
     log::info!(instance = instance.map_or("", |id| id.as_str()); "upstream named no rate limit any more");
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -210,13 +210,17 @@
 ) -> NodeResponse {
     let name = &route.host.host;
     let granted = retries.grant();
-    traffic.shared.host().record_try_sent(name);
-    let mut guard =
-        RouteGuard { traffic, call, route, started: traffic.shared.clock.now(), finished: false };
+    let sent = traffic.shared.clock.now();
+    let status = {
+        let mut host = traffic.shared.host();
+        host.record_try_sent(name);
+        host.known_status(sent, name)
+    };
+    let mut guard = RouteGuard { traffic, call, route, started: sent, finished: false };
     let response = if *name == traffic.shared.settings.host {
-        gate::run(traffic, call, granted).await
+        gate::run(traffic, call, granted, status.as_ref()).await
     } else {
-        peer_client::run(traffic, call, granted, route).await
+        peer_client::run(traffic, call, granted, route, status.as_ref()).await
     };
     guard.finish(try_result(&response), &response);
     retries.return_unspent(granted, response.unspent);
@@ -374,6 +378,7 @@
         let finished = self.finished_try(now, result, response.load_level.clone());
         host.record_try_finished(now, &self.call.service, &self.route.host.host, &finished);
         host.record_shedding_levels(now, self.call, response);
+        host.record_status(now, self.started, &self.route.host.host, response);
         if response.reason == Reason::BudgetSpent {
             host.record_budget_spent(now, &self.call.service, self.call.class.rank);
         }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Request, Uri};
-use snipehollow_core::admission::{Completion, LoadLevel};
+use snipehollow_core::admission::{Completion, LoadLevel, UpstreamStatus};
 use snipehollow_core::class::Repeat;
 use snipehollow_core::ids::TryId;
 use snipehollow_core::outcome::{Outcome, RefusalTrust};
@@ -33,11 +33,18 @@
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs one try at the local gate and adds to the response what the gate reports to entry nodes.
+///
+/// `known_status` is what the entry node knows about the local upstream.
 pub(crate) async fn run(
     traffic: &TrafficContext,
     call: &Arc<Call>,
     granted: Allowance,
+    known_status: Option<&UpstreamStatus>,
 ) -> NodeResponse {
+    if let Some(status) = known_status {
+        let now = traffic.shared.clock.now();
+        traffic.shared.host().adopt_status(now, status);
+    }
     let mut response = run_by_repeat_policy(traffic, call, granted).await;
     let local_service = traffic.shared.local_service();
     let now = traffic.shared.clock.now();
@@ -45,6 +52,7 @@
         let mut host = traffic.shared.host();
         response.shedding_levels = Some(host.shedding_levels(now, call, local_service.as_ref()));
         response.dependencies = host.dependencies_to_report(&call.class.name);
+        response.upstream_status = host.local_status();
         host.rate_limit()
     };
     decisions::log_gate_result(call, now, &response, response.load_level.as_ref(), rate_limit);
@@ -389,6 +397,7 @@
         load_level: None,
         shedding_levels: None,
         dependencies: Vec::new(),
+        upstream_status: None,
         tries: 0,
         ticket: None,
     };
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Uri};
-use snipehollow_core::admission::{LoadLevel, SheddingLevels};
+use snipehollow_core::admission::{LoadLevel, SheddingLevels, UpstreamStatus};
 use snipehollow_core::ids::ServiceName;
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
@@ -24,20 +24,24 @@
 /// passed.
 const RESPONSE_SLACK: Duration = Duration::from_millis(20);
 
-/// Runs one try at another host.
+/// Runs one try at another host. `known_status` is what this node knows about its upstream.
 pub(crate) async fn run(
     traffic: &TrafficContext,
     call: &Call,
     granted: Allowance,
     route: &Route,
+    known_status: Option<&UpstreamStatus>,
 ) -> NodeResponse {
     if traffic.shared.settings.blocked_zones.contains(&route.host.zone) {
         return NodeResponse::refusal(Reason::Unreachable).with_unspent(granted);
     }
     let now = traffic.shared.clock.now();
-    let Ok(req) = peer_request(traffic, call, granted, route.host.addr, now) else {
+    let Ok(mut req) = peer_request(traffic, call, granted, route.host.addr, now) else {
         return NodeResponse::refusal(Reason::BadRequest).with_unspent(granted);
     };
+    if let Some(status) = known_status {
+        headers::set(req.headers_mut(), headers::UPSTREAM_STATUS, status);
+    }
     let deadline = traffic.shared.clock.instant(call.deadline) + RESPONSE_SLACK;
     let options = ExchangeOptions {
         max_bytes: traffic.shared.settings.bounds.max_response_bytes,
@@ -110,6 +114,8 @@
         headers::text(map, &headers::SHEDDING_LEVELS).and_then(SheddingLevels::parse);
     let dependencies = headers::text(map, &headers::DEPENDENCIES).unwrap_or("").split(',');
     let dependencies = dependencies.filter_map(|name| ServiceName::new(name).ok()).collect();
+    let upstream_status =
+        headers::text(map, &headers::UPSTREAM_STATUS).and_then(UpstreamStatus::parse);
     let ticket = headers::text(map, &headers::TICKET).map(str::to_owned);
     NodeResponse {
         status: buffered.status,
@@ -121,6 +127,7 @@
         load_level,
         shedding_levels,
         dependencies,
+        upstream_status,
         tries: 0,
         ticket,
     }
--- a/crates/node/src/traffic/peer_listener.rs
+++ b/crates/node/src/traffic/peer_listener.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use snipehollow_core::admission::UpstreamStatus;
 use snipehollow_core::class::{ClassPolicy, Rank, Repeat};
 use snipehollow_core::ids::{CallerKey, ClassName, Fingerprint, RequestId, ServiceName, ZoneName};
 use snipehollow_core::retry::Allowance;
@@ -26,9 +27,12 @@
     if !is_trusted(&traffic, req.headers()) {
         return bad_request(StatusCode::FORBIDDEN).to_peer_response();
     }
+    let status = headers::text(req.headers(), &headers::UPSTREAM_STATUS);
+    let status = status.and_then(UpstreamStatus::parse);
     match accept(&traffic, req).await {
         Ok((call, granted)) => {
-            gate::run(&traffic, &Arc::new(call), granted).await.to_peer_response()
+            let response = gate::run(&traffic, &Arc::new(call), granted, status.as_ref()).await;
+            response.to_peer_response()
         }
         Err(response) => response.to_peer_response(),
     }
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
-use snipehollow_core::admission::{LoadLevel, SheddingLevels};
+use snipehollow_core::admission::{LoadLevel, SheddingLevels, UpstreamStatus};
 use snipehollow_core::ids::{RequestId, ServiceName};
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
@@ -42,6 +42,8 @@
     /// Downstream dependencies of the request's class; empty unless the gate included them, which
     /// it does only in some responses.
     pub(crate) dependencies: Vec<ServiceName>,
+    /// What the upstream on the host of the try said about itself.
+    pub(crate) upstream_status: Option<UpstreamStatus>,
     /// Number of tries made; 0 until the entry node completes the response.
     pub(crate) tries: u16,
     /// Ticket issued with the refusal of a request that needs a ticket or whose ticket expired.
@@ -61,6 +63,7 @@
             load_level: None,
             shedding_levels: None,
             dependencies: Vec::new(),
+            upstream_status: None,
             tries: 0,
             ticket: None,
         }
@@ -149,6 +152,9 @@
         if let Some(levels) = &self.shedding_levels {
             headers::set(map, headers::SHEDDING_LEVELS, levels);
         }
+        if let Some(status) = &self.upstream_status {
+            headers::set(map, headers::UPSTREAM_STATUS, status);
+        }
         if !self.dependencies.is_empty() {
             let names: Vec<&str> = self.dependencies.iter().map(ServiceName::as_str).collect();
             headers::set(map, headers::DEPENDENCIES, names.join(","));
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
+use snipehollow_core::admission::UNKNOWN_PROCESS_START;
 use snipehollow_core::ids::{InstanceId, ServiceName};
 use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
 use snipehollow_wire::admin::Announcement;
@@ -19,7 +20,6 @@
 use super::TrafficContext;
 use super::exchange::{ExchangeOptions, exchange};
 use super::pool::Reuse;
-use crate::host::UNKNOWN_PROCESS_START;
 
 /// How long after the start of the node the upstream is probed: two of its heartbeat intervals.
 const PROBE_PERIOD: Duration = Duration::from_secs(3);
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -44,6 +44,10 @@
         pub in_flight: u32,
         /// Requests in the queue of the gate.
         pub queued: u32,
+        /// Rate limit that the upstream names, in thousandths of a request per second; `None` if it
+        /// names none.
+        #[serde(default)]
+        pub rate_limit_milli: Option<u64>,
         /// Whether the upstream is leaving, so that the gate refuses new requests.
         pub leaving: bool,
         /// Demand of arriving requests for slot time, in thousandths of the slot time available.
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -66,8 +66,12 @@
 /// Internal: service on the host of the entry node; absent if that host runs none.
 pub const ORIGIN: HeaderName = HeaderName::from_static("snipehollow-origin");
 
+/// Internal: what the upstream said about itself; from the gate in a response, and from the entry
+/// node in a request.
+pub const UPSTREAM_STATUS: HeaderName = HeaderName::from_static("snipehollow-upstream-status");
+
 /// All headers of this project. A node forwards other headers unchanged, except hop-by-hop ones.
-static PROJECT_HEADERS: [HeaderName; 22] = [
+static PROJECT_HEADERS: [HeaderName; 23] = [
     REQUEST_ID,
     CALLER,
     ATTEMPT,
@@ -89,6 +93,7 @@
     ORIGIN,
     REPEAT_SHARE,
     SHEDDING_LEVELS,
+    UPSTREAM_STATUS,
     DEPENDENCIES,
 ];
 
