Send nothing to an upstream that said it is leaving

What upstreams saw: requests kept arriving after a response had said that the upstream is leaving, until an announcement said so too, which may be delayed or lost.

Cause: no node read what the responses say, and a restarted node would have forgotten it.

The gate now refuses with not-run from the first such response, whatever later announcements of the same process say; a later process with the same id serves again. Entry nodes keep the status like a rate limit and send it with their requests, so that a restarted gate refuses them. A status without a start number does not count against a process with a known one. The signals in a response of a process that was replaced meanwhile are ignored, and a health check that reports leaving does not make the upstream known.

--- a/crates/core/src/admission/upstream_status.rs
+++ b/crates/core/src/admission/upstream_status.rs
@@ -19,6 +19,8 @@
     pub instance: Option<InstanceId>,
     /// Rate limit that it named, in requests per second; `None` if it named none.
     pub rate_limit: Option<f64>,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
 }
 
 impl UpstreamStatus {
@@ -31,18 +33,28 @@
         start_matches && self.instance.as_ref() == instance
     }
 
-    /// Parses the header form, `start/limit/instance`; `None` if the text is malformed.
+    /// Returns whether a request must not be sent to the process with this start number and id
+    /// because, according to the status, that process is leaving.
     ///
-    /// `limit` and `instance` are empty if there is none.
+    /// A status without a start number does not count against a process with a known one, which
+    /// may be a later process with the same id.
+    pub fn forbids(&self, start: u64, instance: Option<&InstanceId>) -> bool {
+        let may_be_later = self.start == UNKNOWN_PROCESS_START && start != UNKNOWN_PROCESS_START;
+        self.leaving && !may_be_later && self.may_describe(start, instance)
+    }
+
+    /// Parses the header form, `start/limit/leaving/instance`; `None` if the text is malformed.
+    ///
+    /// `limit` and `instance` are empty if there is none; `leaving` is `1` or `0`.
     ///
     /// ```
     /// use snipehollow_core::admission::UpstreamStatus;
     ///
-    /// let status = UpstreamStatus::parse("17/2.5/i-1").unwrap();
+    /// let status = UpstreamStatus::parse("17/2.5/0/i-1").unwrap();
     /// assert_eq!(status.rate_limit, Some(2.5));
-    /// assert_eq!(status.to_string(), "17/2.5/i-1");
-    /// assert_eq!(UpstreamStatus::parse("17//").unwrap().instance, None);
-    /// assert_eq!(UpstreamStatus::parse("17/-1/i-1"), None);
+    /// assert_eq!(status.to_string(), "17/2.5/0/i-1");
+    /// assert!(UpstreamStatus::parse("17//1/").unwrap().forbids(17, None));
+    /// assert_eq!(UpstreamStatus::parse("17/-1/0/i-1"), None);
     /// ```
     pub fn parse(text: &str) -> Option<UpstreamStatus> {
         let mut fields = text.split('/');
@@ -53,6 +65,11 @@
                 Some(limit.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)?)
             }
         };
+        let leaving = match fields.next()? {
+            "0" => false,
+            "1" => true,
+            _ => return None,
+        };
         let instance = match fields.next()? {
             "" => None,
             id => Some(InstanceId::new(id).ok()?),
@@ -60,7 +77,7 @@
         if fields.next().is_some() {
             return None;
         }
-        Some(UpstreamStatus { start, instance, rate_limit })
+        Some(UpstreamStatus { start, instance, rate_limit, leaving })
     }
 }
 
@@ -70,6 +87,7 @@
         if let Some(limit) = self.rate_limit {
             write!(f, "{limit}")?;
         }
-        write!(f, "/{}", self.instance.as_ref().map_or("", |id| id.as_str()))
+        let leaving = u8::from(self.leaving);
+        write!(f, "/{leaving}/{}", self.instance.as_ref().map_or("", |id| id.as_str()))
     }
 }
--- a/crates/core/src/routing/statuses.rs
+++ b/crates/core/src/routing/statuses.rs
@@ -25,7 +25,7 @@
 /// let ms = Timestamp::from_millis;
 /// let host = HostName::new("h1").unwrap();
 /// let mut statuses = UpstreamStatuses::default();
-/// statuses.record(ms(50), &host, UpstreamStatus::parse("17/2.5/i-1").unwrap());
+/// statuses.record(ms(50), &host, UpstreamStatus::parse("17/2.5/0/i-1").unwrap());
 /// // A try that was sent earlier says nothing about what came later.
 /// statuses.record_absent(ms(40), &host);
 /// assert!(statuses.get(ms(60), &host).is_some());
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -5,7 +5,7 @@
 
 use snipehollow_config::model::Route;
 use snipehollow_config::settings::{AdmissionMode, NodeSettings};
-use snipehollow_core::admission::GateConfig;
+use snipehollow_core::admission::{GateConfig, UNKNOWN_PROCESS_START};
 use snipehollow_core::class::Rank;
 use snipehollow_core::collections::{FastMap, FastSet};
 use snipehollow_core::ids::{ClassName, HostName, InstanceId, RequestId, ServiceName, TryId};
@@ -88,7 +88,7 @@
     pub(super) retry_budget: RetryBudget,
     pub(super) shedding: SheddingTable,
     /// Upstreams that announced their departure recently.
-    departures: Departures,
+    pub(super) departures: Departures,
     router: Router,
     /// What upstreams said about themselves, by host.
     pub(super) upstream_statuses: UpstreamStatuses,
@@ -338,8 +338,12 @@
         let slots = usable_slots(announcement);
         let admission_stopped = self.admission_stopped;
         let upstream = self.upstream.as_mut()?;
+        if upstream.start == UNKNOWN_PROCESS_START {
+            // The announcement may come from a later process with the same id.
+            upstream.said_leaving = departed;
+        }
         upstream.apply_announcement(now, announcement);
-        if departed {
+        if departed || upstream.said_leaving {
             upstream.info.state = UpstreamState::Leaving;
         }
         let leaving = admission_stopped || upstream.info.state == UpstreamState::Leaving;
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -39,6 +39,8 @@
 /// What the sender of a dispatched try needs to build the request to the upstream.
 pub(crate) struct StartedTry {
     pub(crate) addr: std::net::SocketAddr,
+    /// Process start number of the upstream.
+    pub(crate) start: u64,
     /// Id of the upstream process that should run the request; `None` if the process has no id.
     pub(crate) instance: Option<InstanceId>,
     /// Context token that the upstream passes on with its nested calls.
@@ -177,7 +179,8 @@
         granted: Allowance,
     ) -> Option<StartedTry> {
         let upstream = self.upstream.as_ref()?;
-        let (addr, instance) = (upstream.addr, upstream.instance.clone());
+        let (addr, start) = (upstream.addr, upstream.start);
+        let instance = upstream.instance.clone();
         if self.admission_mode == AdmissionMode::PassThrough {
             self.pass_through_in_flight += 1;
         }
@@ -193,7 +196,7 @@
             deadline: call.deadline,
             ended: CancellationToken::new(),
         });
-        Some(StartedTry { addr, instance, context })
+        Some(StartedTry { addr, start, instance, context })
     }
 
     /// Records the end of a try and fills the slot that becomes free.
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -9,6 +9,8 @@
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::admin::Announcement;
 
+use super::tries::StartedTry;
+
 /// An announced or discovered upstream and its gate.
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
@@ -58,6 +60,12 @@
             && self.info.service == announcement.upstream.service
     }
 
+    /// Returns whether this is the process that a try was sent to.
+    pub(crate) fn received(&self, started: &StartedTry) -> bool {
+        let start_matches = self.start == started.start || started.start == UNKNOWN_PROCESS_START;
+        start_matches && self.addr == started.addr && self.instance == started.instance
+    }
+
     /// Returns whether an announcement is older than the newest one or comes from an earlier
     /// process start.
     pub(crate) fn is_outdated(&self, announcement: &Announcement) -> bool {
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -7,9 +7,8 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Request, Uri};
-use snipehollow_core::admission::{Completion, LoadLevel, UpstreamStatus};
+use snipehollow_core::admission::{Completion, UpstreamStatus};
 use snipehollow_core::class::Repeat;
-use snipehollow_core::ids::TryId;
 use snipehollow_core::outcome::{Outcome, RefusalTrust};
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
@@ -21,6 +20,7 @@
 
 use super::exchange::{BufferedResponse, ExchangeError, ExchangeOptions, NotSentCause, exchange};
 use super::pool::Reuse;
+use super::try_guard::TryGuard;
 use super::{Call, NodeResponse, TrafficContext};
 use crate::adapters::{ResponseKind, UpstreamRequest};
 use crate::host::{Admission, GateDecision, StartedTry, StoredResponse, TicketAction};
@@ -43,7 +43,9 @@
 ) -> NodeResponse {
     if let Some(status) = known_status {
         let now = traffic.shared.clock.now();
-        traffic.shared.host().adopt_status(now, status);
+        if traffic.shared.host().adopt_status(now, status) {
+            return refuse_leaving(traffic, call, granted);
+        }
     }
     let mut response = run_by_repeat_policy(traffic, call, granted).await;
     let local_service = traffic.shared.local_service();
@@ -59,6 +61,19 @@
     response
 }
 
+/// Refuses a try of an entry node that knows that the local upstream is leaving.
+fn refuse_leaving(traffic: &TrafficContext, call: &Call, granted: Allowance) -> NodeResponse {
+    let now = traffic.shared.clock.now();
+    let mut host = traffic.shared.host();
+    record_step(traffic, &mut host, call, Stage::Gate, Reason::Leaving, Some(Outcome::NotRun));
+    let (load_level, rate_limit) = (host.load_level(), host.rate_limit());
+    drop(host);
+    let response =
+        NodeResponse::refusal(Reason::Leaving).with_unspent(granted).with_load_level(load_level);
+    decisions::log_gate_result(call, now, &response, response.load_level.as_ref(), rate_limit);
+    response
+}
+
 async fn run_by_repeat_policy(
     traffic: &TrafficContext,
     call: &Arc<Call>,
@@ -352,7 +367,7 @@
     if !matches!(kind, ResponseKind::Mismatched | ResponseKind::OtherInstance) {
         let signals = traffic.shared.adapters.protocol.read_signals(&buffered.headers);
         let now = traffic.shared.clock.now();
-        traffic.shared.host().record_signals(now, dispatched, signals);
+        traffic.shared.host().record_signals(now, started, dispatched, signals);
     }
     match kind {
         ResponseKind::Complete => complete_response(buffered),
@@ -474,34 +489,3 @@
     step.outcome = outcome;
     host.trace(&call.id, step);
 }
-
-/// Frees the slot of a try exactly once, even if its task is dropped because the caller
-/// disconnected.
-struct TryGuard {
-    traffic: TrafficContext,
-    id: TryId,
-    started: Timestamp,
-    ended: bool,
-}
-
-impl TryGuard {
-    fn new(traffic: &TrafficContext, id: TryId) -> TryGuard {
-        let started = traffic.shared.clock.now();
-        TryGuard { traffic: traffic.clone(), id, started, ended: false }
-    }
-
-    fn end(&mut self, completion: Completion) -> (Allowance, Option<LoadLevel>) {
-        self.ended = true;
-        let now = self.traffic.shared.clock.now();
-        let ended = self.traffic.shared.host().end_try(now, self.started, self.id, completion);
-        (ended.unspent, ended.load_level)
-    }
-}
-
-impl Drop for TryGuard {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(Completion::Failed);
-        }
-    }
-}
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod response;
 mod server;
 mod threads;
+mod try_guard;
 mod upstream_listener;
 mod upstream_probe;
 
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -20,6 +20,7 @@
 use super::TrafficContext;
 use super::exchange::{ExchangeOptions, exchange};
 use super::pool::Reuse;
+use crate::adapters::RateSignal;
 
 /// How long after the start of the node the upstream is probed: two of its heartbeat intervals.
 const PROBE_PERIOD: Duration = Duration::from_secs(3);
@@ -53,8 +54,8 @@
         }
         if let Some(target) = ProbeTarget::of(&traffic) {
             probes += 1;
-            if let Some(instance) = probe(&traffic, addr, &target.health_path).await {
-                announce_discovered(&traffic, addr, instance, &target);
+            if let Some(found) = probe(&traffic, addr, &target.health_path).await {
+                announce_discovered(&traffic, addr, found, &target);
                 return;
             }
         }
@@ -83,7 +84,13 @@
     }
 }
 
-async fn probe(traffic: &TrafficContext, addr: SocketAddr, path: &str) -> Option<InstanceId> {
+/// Upstream that responded to a health check as serving.
+struct Found {
+    instance: InstanceId,
+    rate: RateSignal,
+}
+
+async fn probe(traffic: &TrafficContext, addr: SocketAddr, path: &str) -> Option<Found> {
     let mut req = Request::new(Full::new(Bytes::new()));
     *req.uri_mut() = path.parse().ok()?;
     req.headers_mut().insert(HOST, HeaderValue::from_str(&addr.to_string()).ok()?);
@@ -97,7 +104,10 @@
     if let Some(connection) = buffered.connection.take() {
         traffic.pool.return_connection(connection);
     }
-    let instance = traffic.shared.adapters.protocol.read_health(buffered.status, &buffered.headers);
+    let protocol = &traffic.shared.adapters.protocol;
+    let signals = protocol.read_signals(&buffered.headers);
+    let instance = protocol.read_health(buffered.status, &buffered.headers);
+    let instance = instance.filter(|_| !signals.leaving);
     if instance.is_none() {
         let status = buffered.status.as_u16();
         log::info!(
@@ -106,13 +116,13 @@
             "health check response does not show that the upstream is serving"
         );
     }
-    instance
+    instance.map(|instance| Found { instance, rate: signals.rate })
 }
 
 fn announce_discovered(
     traffic: &TrafficContext,
     addr: SocketAddr,
-    instance: InstanceId,
+    found: Found,
     target: &ProbeTarget,
 ) {
     let now = traffic.shared.clock.now();
@@ -127,7 +137,7 @@
         connections: u32::MAX,
         start: UNKNOWN_PROCESS_START,
         ttl_ms: DISCOVERED_TTL_MS,
-        instance: Some(instance),
+        instance: Some(found.instance),
         sequence: 0,
         cold_ms: 0,
     };
@@ -136,7 +146,11 @@
         if host.has_upstream() {
             return;
         }
-        host.handle_announcement(now, &announcement)
+        let info = host.handle_announcement(now, &announcement);
+        if let RateSignal::Named(limit) = found.rate {
+            host.record_rate_limit(now, limit);
+        }
+        info
     };
     traffic.shared.control().set_upstream(now, info);
 }
