--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -4,6 +4,7 @@
 //! requests from local callers. The traffic threads share it behind one lock, so each method makes
 //! one decision quickly and never blocks.
 
+mod announcements;
 mod caller_retries;
 mod contexts;
 mod shedding;
