Observe the era of the store

Whether a node's watch continued from a lost history could not be seen. The adapter now decodes the era of each response into the cursor of the feed. A node logs when the era rises, with the position that its watch continued from, and when the store offers an older configuration than the one in force; the metric store_era shows the era. No decision depends on it yet.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -58,6 +58,8 @@
     /// Rate limit that the upstream names, in requests per second; -1 if it names none.
     pub(crate) rate_limit: FloatGauge,
     pub(crate) revision: Gauge,
+    /// Number of times that the store was restored from an older copy.
+    pub(crate) store_era: Gauge,
     pub(crate) live_members: Gauge,
     process_cpu: FloatGauge,
     control_cpu: FloatGauge,
@@ -84,6 +86,7 @@
             limit: Gauge::default(),
             rate_limit: FloatGauge::default(),
             revision: Gauge::default(),
+            store_era: Gauge::default(),
             live_members: Gauge::default(),
             process_cpu: FloatGauge::default(),
             control_cpu: FloatGauge::default(),
@@ -112,6 +115,8 @@
         let help = "Requests per second that the upstream accepts, -1 without a limit";
         r.register("rate_limit", help, self.rate_limit.clone());
         r.register("revision", "Revision of the configuration in force", self.revision.clone());
+        let help = "Times that the key-value service was restored from an older copy";
+        r.register("store_era", help, self.store_era.clone());
         r.register("live_members", "Live members of the zone", self.live_members.clone());
         let help = "CPU time of the process";
         r.register_with_unit("process_cpu", help, Unit::Seconds, self.process_cpu.clone());
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -68,6 +68,8 @@
     head_version: Version,
     /// Position in the feed; `None` if the next step must read the newest configuration.
     cursor: Option<Cursor>,
+    /// Era of the feed; `None` before the first response.
+    era: Option<u64>,
     backoff: Duration,
     /// Whether this process has read the configuration once.
     config_was_read: bool,
@@ -83,6 +85,7 @@
             store,
             head_version: Version::ABSENT,
             cursor: None,
+            era: None,
             backoff: INITIAL_BACKOFF,
             config_was_read: false,
             next_seed_refresh: Instant::now(),
@@ -166,18 +169,18 @@
         match event {
             Ok(FeedEvent::Published(snapshot, cursor)) => {
                 self.record_success();
-                self.cursor = Some(cursor);
+                self.record_position(cursor);
                 self.config_was_read = true;
                 self.apply_snapshot(&snapshot);
             }
             Ok(FeedEvent::Unchanged(cursor)) => {
                 self.record_success();
-                self.cursor = Some(cursor);
+                self.record_position(cursor);
                 self.config_was_read = true;
             }
             Ok(FeedEvent::Malformed(cause, cursor)) => {
                 self.record_success();
-                self.cursor = Some(cursor);
+                self.record_position(cursor);
                 log::error!("malformed configuration in the feed ignored: {cause}");
             }
             Ok(FeedEvent::CursorExpired) => {
@@ -194,8 +197,30 @@
         }
     }
 
+    /// Records the position from which the next watch continues.
+    fn record_position(&mut self, cursor: Cursor) {
+        if let Some(before) = self.era.replace(cursor.era)
+            && before != cursor.era
+        {
+            log::warn!(
+                before,
+                era = cursor.era,
+                watched_from = self.cursor.map_or(-1, |old| old.revision as i64),
+                revision = cursor.revision;
+                "store was restored from an older copy"
+            );
+        }
+        self.shared.metrics.store_era.set(cursor.era as i64);
+        self.cursor = Some(cursor);
+    }
+
     fn apply_snapshot(&self, snapshot: &ConfigSnapshot) {
-        if snapshot.revision <= self.shared.control().config().revision() {
+        let in_force = self.shared.control().config().revision();
+        if snapshot.revision <= in_force {
+            if snapshot.revision < in_force {
+                let revision = snapshot.revision;
+                log::warn!(revision, in_force; "older configuration in the feed ignored");
+            }
             return;
         }
         let delta = ConfigDelta::full(snapshot.revision, FEED_AUTHOR, &snapshot.sections);
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -13,7 +13,13 @@
 key_type! {
     /// Position in the history of a feed.
     #[derive(Default)]
-    pub struct Cursor(pub u64);
+    pub struct Cursor {
+        /// Number of times that the feed was restored from an older copy. Each restoration
+        /// starts a new history.
+        pub era: u64,
+        /// Position in the history of the era.
+        pub revision: u64,
+    }
 }
 
 /// A complete configuration at one revision.
