Read the configuration anew when the era of the store has changed

What callers saw: a route that an operator had added, and that the store had acknowledged, was refused with 404 until the next change of the configuration.

Cause: after a restoration from an older copy revisions are given out again. A watch that continued from a revision of the lost history got only what was written above it, once the new history had passed that revision, and never learned of the configuration below it. The class of fault: a position or version of one history used as one of another.

--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -41,8 +41,8 @@
     /// A configuration was published that cannot be parsed, for the given reason. The previous
     /// one stays in force.
     Malformed(String, Cursor),
-    /// The feed no longer has the history after the cursor. The caller must read the newest
-    /// configuration and continue from there.
+    /// The feed no longer has the history after the cursor, or was restored from an older copy. The
+    /// caller must read the newest configuration and continue from there.
     CursorExpired,
 }
 
