Write the seeds again when the store was restored from an older copy

What callers saw: hosts that joined after a restoration found no other node for up to a minute, so they served nobody and, with no configuration from peers, answered 503 or 404.

Cause: the store had lost the addresses through which nodes find each other. Their writers are mostly not the members that watch the store, so they learned nothing of the restoration and renewed the addresses once a minute.

The members that watch the store now pass its era on with their gossip, and a writer refreshes the seeds as soon as it knows of a new era. Nothing is read by the other members, so a restoration costs a few calls per zone.

--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -33,6 +33,9 @@
         pub digest: u64,
         /// Revision of the configuration in force at the sender.
         pub revision: u64,
+        /// Highest known number of restorations of the store from an older copy.
+        #[serde(default)]
+        pub store_era: u64,
     }
 }
 
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -226,6 +226,7 @@
             items: self.gossip.take(members),
             digest: self.digests.total(),
             revision,
+            store_era: 0,
         }
     }
 
--- a/crates/node/src/control/rpc_server.rs
+++ b/crates/node/src/control/rpc_server.rs
@@ -111,7 +111,7 @@
     let now = shared.clock.now();
     let others = shared.control().on_message(now, message);
     apply_gossip_items(shared, others);
-    thread::pull_if_behind(shared, message);
+    thread::catch_up_with_sender(shared, message);
 }
 
 /// Applies gossip items that are not about members, and gossips those that changed something to
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -46,6 +46,9 @@
     draining: bool,
     /// Whether the last call to the store succeeded; `None` while this node does not call it.
     pub(crate) store_reachable: Option<bool>,
+    /// Highest known era of the store, from its responses or from other members; 0 before the
+    /// first.
+    store_era: u64,
 }
 
 impl ControlState {
@@ -90,6 +93,7 @@
             default_link_bytes_per_second: settings.link_bytes_per_second,
             draining: false,
             store_reachable: None,
+            store_era: 0,
         }
     }
 
@@ -123,10 +127,20 @@
         }
     }
 
+    /// Returns the highest known era of the store.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.store_era
+    }
+
+    /// Records an era of the store that a response of it or a member named.
+    pub(crate) fn record_store_era(&mut self, era: u64) {
+        self.store_era = self.store_era.max(era);
+    }
+
     /// Returns the gossip message to send with a probe or its response.
     pub(crate) fn gossip_message(&mut self) -> GossipMessage {
         let revision = self.config.revision();
-        self.membership.message(revision)
+        GossipMessage { store_era: self.store_era, ..self.membership.message(revision) }
     }
 
     /// Applies a gossip message and returns its items that are not about members.
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -200,7 +200,7 @@
         Ok(message) => {
             let others = shared.control().membership.on_probe_response(now, probe, &message);
             rpc_server::apply_gossip_items(shared, others);
-            pull_if_behind(shared, &message);
+            catch_up_with_sender(shared, &message);
         }
         Err(err) => {
             log::debug!("probe failed: {err}");
@@ -274,10 +274,12 @@
     }
 }
 
-/// Pulls the configuration from the sender of a message if the sender has a newer revision.
-pub(super) fn pull_if_behind(shared: &Arc<Shared>, message: &GossipMessage) {
+/// Learns the era of the store from a message, and pulls the configuration from its sender if the
+/// sender has a newer revision.
+pub(super) fn catch_up_with_sender(shared: &Arc<Shared>, message: &GossipMessage) {
     let addr = {
-        let control = shared.control();
+        let mut control = shared.control();
+        control.record_store_era(message.store_era);
         if message.revision <= control.config().revision() {
             return;
         }
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -2,7 +2,8 @@
 //!
 //! Every node reads the configuration once at its start. After that, only a few members of a zone,
 //! chosen by rendezvous hashing, wait for newer revisions. Every node reads the seeds at its start
-//! and once a minute; a few members of a zone write them.
+//! and once a minute; a few members of a zone write them, and refresh them at once if the store was
+//! restored from an older copy.
 
 use std::sync::Arc;
 use std::thread;
@@ -70,6 +71,8 @@
     cursor: Option<Cursor>,
     /// Era of the feed; `None` before the first response.
     era: Option<u64>,
+    /// Era in which the seeds were last refreshed; 0 before an era is known.
+    seeds_era: u64,
     backoff: Duration,
     /// Whether this process has read the configuration once.
     config_was_read: bool,
@@ -86,6 +89,7 @@
             head_version: Version::ABSENT,
             cursor: None,
             era: None,
+            seeds_era: 0,
             backoff: INITIAL_BACKOFF,
             config_was_read: false,
             next_seed_refresh: Instant::now(),
@@ -94,7 +98,7 @@
     }
 
     fn step(&mut self) {
-        if Instant::now() >= self.next_seed_refresh {
+        if Instant::now() >= self.next_seed_refresh || self.may_have_lost_seeds() {
             self.refresh_seeds();
         }
         let is_watcher = self.shared.control().is_watcher();
@@ -109,16 +113,29 @@
         }
     }
 
+    /// Returns whether the store was restored since the last refresh of the seeds, and this node
+    /// writes those of its zone.
+    fn may_have_lost_seeds(&mut self) -> bool {
+        let control = self.shared.control();
+        let era = control.store_era();
+        if self.seeds_era == 0 {
+            self.seeds_era = era;
+        }
+        era > self.seeds_era && control.is_seed_writer()
+    }
+
     /// Reads the seeds of all zones and, if this node is a seed writer, updates those of its own
     /// zone.
     fn refresh_seeds(&mut self) {
         self.shared.metrics.store_calls.inc();
+        let era = self.shared.control().store_era();
         let on_malformed = |err: &StoreError| log::warn!("malformed seeds ignored: {err}");
         let lists = match load_all_seeds(&*self.store, on_malformed) {
             Ok(lists) => lists,
             Err(err) => return self.record_failure(&err),
         };
         self.record_success();
+        self.seeds_era = era;
         self.seed_reads += 1;
         let mut listed_version = Version::ABSENT;
         let mut listed = Vec::new();
@@ -210,6 +227,7 @@
                 "store was restored from an older copy"
             );
         }
+        self.shared.control().record_store_era(cursor.era);
         self.shared.metrics.store_era.set(cursor.era as i64);
         self.cursor = Some(cursor);
     }
