Bound what upstreams may send without end

Upstreams in trouble may send bytes without end, in a head or a body, until the node closes the connection.

Cause: informational responses (1xx) before the head are skipped without a limit, and a body of one-byte chunks was limited by its data alone, so 8 MiB of it took millions of pieces, which kept the traffic thread busy for other requests too.

Each piece of a body counts as 128 bytes more than its length, and a body is read into one buffer instead of a list of pieces. Heads, chunk extensions and trailers had limits already.

--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use snipehollow_core::outcome::{Dispatched, Undispatched};
@@ -13,6 +13,9 @@
 
 use super::pool::{Connection, Pool, Reuse, SendError};
 
+/// What a piece of a body, such as a chunk, counts in addition to its length.
+const PIECE_OVERHEAD_BYTES: usize = 128;
+
 /// Response that was received completely.
 pub(crate) struct BufferedResponse {
     pub(crate) status: StatusCode,
@@ -122,11 +125,31 @@
         // A response that ends with the connection cannot be distinguished from a truncated one.
         return Err(ReadError::Incomplete);
     }
-    match Limited::new(body, options.max_bytes).collect().await {
-        Ok(collected) => Ok((parts.status, parts.headers, collected.to_bytes())),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Incomplete),
+    let body = read_body(body, options.max_bytes).await?;
+    Ok((parts.status, parts.headers, body))
+}
+
+/// Reads a body into one buffer. Each piece counts as [`PIECE_OVERHEAD_BYTES`] more than its
+/// length, so that a body in many small pieces cannot take unbounded time.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
+    let mut buf = BytesMut::new();
+    let mut counted = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() else {
+            // Trailers are not forwarded.
+            continue;
+        };
+        counted += data.len();
+        if counted > max_bytes {
+            return Err(ReadError::TooLarge);
+        }
+        counted += PIECE_OVERHEAD_BYTES;
+        if buf.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        buf.extend_from_slice(&data);
     }
+    Ok(buf.freeze())
 }
 
 fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod request;
 mod response;
+mod response_io;
 mod server;
 mod threads;
 mod try_guard;
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::response_io::{ReadAllowance, ResponseIo};
+
 /// Time limit for opening a connection: a dozen round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a connection with unacknowledged bytes is closed, so that a dead connection
@@ -64,6 +66,7 @@
 
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     idle_since: Instant,
 }
 
@@ -77,6 +80,7 @@
 pub(crate) struct Connection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
 }
 
 /// Why sending a request failed.
@@ -100,7 +104,8 @@
         let list = idle.get_mut(&addr)?;
         while let Some(entry) = list.pop_if(|entry| entry.idle_since.elapsed() < max_idle) {
             if entry.sender.is_ready() {
-                return Some(Connection { addr, sender: entry.sender });
+                let IdleConnection { sender, allowance, .. } = entry;
+                return Some(Connection { addr, sender, allowance });
             }
         }
         None
@@ -115,13 +120,15 @@
         socket.set_tcp_keepalive(
             &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL),
         )?;
+        let stream = ResponseIo::new(stream);
+        let allowance = stream.allowance();
         let (sender, driver) =
             http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         tokio::spawn(async move {
             // The request on the connection receives the error too.
             let _ = driver.await;
         });
-        Ok(Connection { addr, sender })
+        Ok(Connection { addr, sender, allowance })
     }
 
     /// Returns a connection to the pool after its response was read to the end.
@@ -132,7 +139,8 @@
         let mut idle = self.lock();
         let list = idle.entry(connection.addr).or_default();
         if list.len() < MAX_IDLE_PER_ADDR {
-            list.push(IdleConnection { sender: connection.sender, idle_since: Instant::now() });
+            let Connection { sender, allowance, .. } = connection;
+            list.push(IdleConnection { sender, allowance, idle_since: Instant::now() });
         }
     }
 
@@ -159,7 +167,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(req).await.map_err(|mut err| match err.take_message() {
+        self.allowance.await_head();
+        let sent = self.sender.try_send_request(req).await;
+        self.allowance.head_arrived();
+        sent.map_err(|mut err| match err.take_message() {
             Some(req) => SendError::Unsent(Box::new(req)),
             None => SendError::Failed,
         })
