--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::{
-    AdaptiveLimit, GateConfig, LimitChange, LimitConfig, LimitSample, LoadLevel, Priority,
-    RankedQueue, Tier, TokenBucket, UpstreamLimit, WaitingRequest,
+    AdaptiveLimit, GateConfig, LimitConfig, LimitSample, LoadLevel, Priority, RankedQueue,
+    RateLimitChange, Tier, TokenBucket, UpstreamRateLimit, WaitingRequest,
 };
 use crate::class::ClassPolicy;
 use crate::collections::FastMap;
@@ -92,7 +92,7 @@
     rate_buckets: FastMap<ClassName, TokenBucket>,
     service_times: FastMap<ClassName, Ewma>,
     mean_service_time: Ewma,
-    rate_limit: UpstreamLimit,
+    rate_limit: UpstreamRateLimit,
     leaving: bool,
     stats: GateStats,
 }
@@ -108,7 +108,7 @@
             rate_buckets: FastMap::default(),
             service_times: FastMap::default(),
             mean_service_time: Ewma::default(),
-            rate_limit: UpstreamLimit::default(),
+            rate_limit: UpstreamRateLimit::default(),
             leaving: false,
             stats: GateStats::default(),
         }
@@ -158,7 +158,7 @@
         now: Timestamp,
         dispatched: Timestamp,
         named: Option<f64>,
-    ) -> Option<LimitChange> {
+    ) -> Option<RateLimitChange> {
         self.rate_limit.observe(now, dispatched, named)
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -16,7 +16,7 @@
 mod queue;
 mod rate;
 mod shedding;
-mod upstream_limit;
+mod upstream_rate_limit;
 mod upstream_status;
 
 pub use gate::{Action, Arrival, Completion, Gate, GateStats};
@@ -26,5 +26,5 @@
 pub use queue::{Priority, RankedQueue, Tier, WaitingRequest};
 pub use rate::TokenBucket;
 pub use shedding::{DemandMeter, ReportedLevel, SheddingLevels, admitted_share};
-pub use upstream_limit::{LimitChange, UpstreamLimit};
+pub use upstream_rate_limit::{RateLimitChange, UpstreamRateLimit};
 pub use upstream_status::{UNKNOWN_PROCESS_START, UpstreamStatus};
--- a/crates/core/src/admission/upstream_limit.rs
+++ b/crates/core/src/admission/upstream_rate_limit.rs
@@ -14,7 +14,7 @@
 
 /// Change of the rate limit that a response brought.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LimitChange {
+pub enum RateLimitChange {
     /// The upstream names this limit, in requests per second, and named none before.
     Started(f64),
     /// The upstream names another limit than before, in requests per second.
@@ -30,30 +30,29 @@
 /// response to a request that was dispatched after the last response that named it.
 ///
 /// ```
-/// use snipehollow_core::admission::{LimitChange, UpstreamLimit};
+/// use snipehollow_core::admission::{RateLimitChange, UpstreamRateLimit};
 /// use snipehollow_core::time::Timestamp;
 ///
 /// let ms = Timestamp::from_millis;
-/// let mut limit = UpstreamLimit::default();
-/// assert_eq!(limit.observe(ms(50), ms(10), Some(2.0)), Some(LimitChange::Started(2.0)));
+/// let mut limit = UpstreamRateLimit::default();
+/// assert_eq!(limit.observe(ms(50), ms(10), Some(2.0)), Some(RateLimitChange::Started(2.0)));
 /// // This request was dispatched before the limit was named.
 /// assert_eq!(limit.observe(ms(60), ms(20), None), None);
-/// assert_eq!(limit.observe(ms(90), ms(70), None), Some(LimitChange::Ended));
+/// assert_eq!(limit.observe(ms(90), ms(70), None), Some(RateLimitChange::Ended));
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct UpstreamLimit {
+pub struct UpstreamRateLimit {
     per_second: Option<f64>,
     /// Whether a response of the upstream was observed, so that other nodes' reports are outdated.
     observed: bool,
     /// Time at which the last response that named the limit was received.
     named_at: Timestamp,
-    /// Requests that may be sent at once; below 0 after requests that were sent before the limit
-    /// was known.
+    /// Requests that may be sent at once, at `refilled_at`.
     tokens: f64,
     refilled_at: Timestamp,
 }
 
-impl UpstreamLimit {
+impl UpstreamRateLimit {
     /// Returns the limit in requests per second; `None` if the upstream names none.
     pub fn per_second(&self) -> Option<f64> {
         self.per_second
@@ -66,7 +65,7 @@
         now: Timestamp,
         dispatched: Timestamp,
         named: Option<f64>,
-    ) -> Option<LimitChange> {
+    ) -> Option<RateLimitChange> {
         if named.is_none() && dispatched <= self.named_at {
             return None;
         }
@@ -77,9 +76,9 @@
         let before = self.per_second;
         self.set(now, named);
         match (before, named) {
-            (None, Some(limit)) => Some(LimitChange::Started(limit)),
-            (Some(before), Some(limit)) if before != limit => Some(LimitChange::Changed(limit)),
-            (Some(_), None) => Some(LimitChange::Ended),
+            (None, Some(limit)) => Some(RateLimitChange::Started(limit)),
+            (Some(before), Some(limit)) if before != limit => Some(RateLimitChange::Changed(limit)),
+            (Some(_), None) => Some(RateLimitChange::Ended),
             _ => None,
         }
     }
@@ -101,10 +100,10 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use snipehollow_core::admission::UpstreamLimit;
+    /// use snipehollow_core::admission::UpstreamRateLimit;
     /// use snipehollow_core::time::Timestamp;
     ///
-    /// let mut limit = UpstreamLimit::default();
+    /// let mut limit = UpstreamRateLimit::default();
     /// limit.observe(Timestamp::ZERO, Timestamp::ZERO, Some(2.0));
     /// assert_eq!(limit.time_to_tokens(Timestamp::ZERO, 1), Some(Duration::ZERO));
     /// limit.take(Timestamp::ZERO);
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -1,6 +1,6 @@
 //! What upstreams say about themselves in their responses.
 
-use snipehollow_core::admission::{LimitChange, UNKNOWN_PROCESS_START, UpstreamStatus};
+use snipehollow_core::admission::{RateLimitChange, UNKNOWN_PROCESS_START, UpstreamStatus};
 use snipehollow_core::ids::HostName;
 use snipehollow_core::membership::UpstreamState;
 use snipehollow_core::reason::Reason;
@@ -37,10 +37,10 @@
         let starts_leaving = signals.leaving && !upstream.said_leaving;
         let instance = upstream.instance.as_ref();
         match change {
-            Some(LimitChange::Started(limit)) => decisions::log_rate_limit(instance, limit),
-            Some(LimitChange::Ended) => decisions::log_rate_limit_end(instance),
+            Some(RateLimitChange::Started(limit)) => decisions::log_rate_limit(instance, limit),
+            Some(RateLimitChange::Ended) => decisions::log_rate_limit_end(instance),
             // Some upstreams name a slightly different limit in each response.
-            Some(LimitChange::Changed(_)) | None => {}
+            Some(RateLimitChange::Changed(_)) | None => {}
         }
         if starts_leaving {
             decisions::log_said_leaving(instance);
