--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -53,6 +53,15 @@
         /// Host of the node.
         host: String,
     },
+    /// upstream {host} got {arrived} requests where its rate limit allows {allowed}
+    RateLimitExceeded {
+        /// Host of the upstream.
+        host: String,
+        /// Requests that arrived while it named the limit.
+        arrived: u64,
+        /// Requests that were allowed in that time.
+        allowed: u64,
+    },
     /// after the faults {problem}
     NotRecovered {
         /// Node and what is wrong with it after the last fault has ended.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`plan`]: the schedule of faults, drawn from a seed.
 //! - [`proxy`]: a loopback proxy that delays, stalls, refuses and resets connections.
 //! - [`callers`]: simulated callers that record the outcomes reported to them.
+//! - [`rate_limits`]: upstreams that name a rate limit, and the check that nodes keep to it.
 //! - [`run`]: one soak from start to report.
 //! - [`invariants`]: the guarantees that are checked.
 //!
@@ -14,4 +15,5 @@
 pub mod invariants;
 pub mod plan;
 pub mod proxy;
+pub mod rate_limits;
 pub mod run;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,9 +39,13 @@
     RefuseStore,
     /// Applies a new sheet.
     ApplySheet,
+    /// Makes an upstream name a rate limit.
+    LimitUpstream,
 }
 
-/// All faults; each is equally likely.
+/// Faults of which each series of the schedule draws one; each is equally likely.
+///
+/// Rate limits are scheduled beside them, so that the schedules of earlier seeds stay as they were.
 pub const ALL_FAULTS: [Fault; 16] = [
     Fault::KillNode,
     Fault::PauseNode,
@@ -61,6 +65,9 @@
     Fault::ApplySheet,
 ];
 
+/// Makes the random numbers of the rate limits differ from those of the other faults.
+const RATE_LIMIT_SEED: u64 = 0x7261_7465;
+
 /// Fault with its start, duration and target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -104,6 +111,24 @@
         }
         at += Duration::from_millis(200 + rng.below(1_500) as u64);
     }
+    schedule.extend(rate_limits(seed, hosts, length));
     schedule.sort_by_key(|scheduled| scheduled.at);
     schedule
 }
+
+/// Draws the times in which upstreams name a rate limit.
+fn rate_limits(seed: u64, hosts: usize, length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = Rng::new(seed ^ RATE_LIMIT_SEED);
+    let mut limits = Vec::new();
+    let mut at = Duration::from_millis(300);
+    while at < length {
+        limits.push(ScheduledFault {
+            at,
+            fault: Fault::LimitUpstream,
+            host: rng.below(hosts),
+            duration: Duration::from_millis(2_000 + rng.below(2_500) as u64),
+        });
+        at += Duration::from_millis(500 + rng.below(2_500) as u64);
+    }
+    limits
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::invariants::{Violation, check_orders};
 use crate::plan::{Fault, ScheduledFault, fault_schedule};
 use crate::proxy::{LinkMode, Proxy};
+use crate::rate_limits::{RATE_LIMIT, RateLimits};
 
 /// Time limit for the mesh to serve and agree on the revision after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
@@ -135,6 +136,9 @@
     /// Time of SIGTERM for each node that has not exited yet.
     stopping: Vec<Option<Instant>>,
     store_faults: Faults,
+    /// Behaviour of each upstream.
+    behaviours: Vec<Behaviour>,
+    rate_limits: RateLimits,
     applied_revision: u64,
     violations: Vec<Violation>,
 }
@@ -183,6 +187,8 @@
             running: vec![true; hosts],
             stopping: vec![None; hosts],
             store_faults: Faults::default(),
+            behaviours: vec![Behaviour::normal(); hosts],
+            rate_limits: RateLimits::default(),
             applied_revision: 1,
             violations: Vec::new(),
         })
@@ -210,6 +216,7 @@
             for fault in due {
                 self.end_fault(&fault.scheduled)?;
             }
+            self.rate_limits.start_counting(&self.mesh);
             self.check_stopping_nodes()?;
             self.check_for_unexpected_exits();
             thread::sleep(STEP_INTERVAL);
@@ -247,9 +254,17 @@
                 if let Some(upstream) = self.mesh.upstream(host) {
                     upstream.kill();
                 }
+                self.behaviours[host] = Behaviour::normal();
+                self.rate_limits.record_restart(host);
+            }
+            Fault::SlowUpstream => self.set_upstream_speed(host, 800, false),
+            Fault::FailUpstream => self.set_upstream_speed(host, 100, true),
+            Fault::LimitUpstream => {
+                if !self.rate_limits.begin(host) {
+                    return Ok(false);
+                }
+                self.set_rate_limit(host, RATE_LIMIT);
             }
-            Fault::SlowUpstream => self.set_upstream_behaviour(host, 800, false),
-            Fault::FailUpstream => self.set_upstream_behaviour(host, 100, true),
             Fault::StoreDown => self.store_faults.down = true,
             Fault::StoreSlow => self.store_faults.slow_ms = 400,
             Fault::StoreLosesResponses => self.store_faults.lose_responses = 3,
@@ -283,8 +298,10 @@
             Fault::KillNode => self.start_node(host)?,
             Fault::PauseNode => self.signal(host, Signal::CONT),
             Fault::KillUpstream => self.mesh.start_upstream(host)?,
-            Fault::SlowUpstream | Fault::FailUpstream => {
-                self.set_upstream_behaviour(host, 100, false)
+            Fault::SlowUpstream | Fault::FailUpstream => self.set_upstream_speed(host, 100, false),
+            Fault::LimitUpstream => {
+                self.violations.extend(self.rate_limits.end(&self.mesh, host));
+                self.set_rate_limit(host, 0);
             }
             Fault::StoreDown => self.store_faults.down = false,
             Fault::StoreSlow => self.store_faults.slow_ms = 0,
@@ -317,15 +334,27 @@
         }
     }
 
-    fn set_upstream_behaviour(&self, host: usize, service_time_percent: u32, failing: bool) {
-        let behaviour = Behaviour { service_time_percent, failing, ..Behaviour::normal() };
+    fn set_upstream_speed(&mut self, host: usize, service_time_percent: u32, failing: bool) {
+        let behaviour = &mut self.behaviours[host];
+        behaviour.service_time_percent = service_time_percent;
+        behaviour.failing = failing;
+        self.send_behaviour(host);
+    }
+
+    fn set_rate_limit(&mut self, host: usize, per_second: u32) {
+        self.behaviours[host].rate_limit_milli = per_second * 1_000;
+        self.send_behaviour(host);
+    }
+
+    fn send_behaviour(&self, host: usize) {
         // Fails if the upstream is down, which then restarts with its normal behaviour anyway.
-        let _ = self.mesh.set_behaviour(&self.mesh.plan.hosts[host], &behaviour);
+        let _ = self.mesh.set_behaviour(&self.mesh.plan.hosts[host], &self.behaviours[host]);
     }
 
     fn start_node(&mut self, host: usize) -> Result<(), StandinError> {
         if !self.running[host] {
             self.mesh.start_node_with_settings(host, &self.settings[host])?;
+            self.rate_limits.record_restart(host);
             self.running[host] = true;
             self.revisions[host] = 0;
         }
