--- a/tests/all/signals.rs
+++ b/tests/all/signals.rs
@@ -45,20 +45,25 @@
     }
 }
 
-/// Returns the number of requests that arrive at each upstream of `pricing` in [`WINDOW`], from
-/// half a second after the start of a load at all nodes of `orders`.
-fn arrivals(mesh: &Mesh) -> Vec<u64> {
+/// Time from the start of a load to the start of [`WINDOW`].
+const WARM_UP: Duration = Duration::from_millis(500);
+
+/// Returns the number of requests that arrive at each upstream of `pricing` in [`WINDOW`], which
+/// begins `warm_up` after the start of a load at all nodes of `orders`.
+fn arrivals(mesh: &Mesh, warm_up: Duration) -> Vec<u64> {
     let pricing = hosts_of(mesh, "pricing");
     let entries =
         hosts_of(mesh, "orders").iter().map(|host| mesh.plan.hosts[*host].caller_addr()).collect();
-    let warm_up = Duration::from_millis(500);
-    let load = reads(entries, warm_up + WINDOW + warm_up);
+    let load = reads(entries, warm_up * 2 + WINDOW);
+    let counts = || pricing.iter().map(|host| started(mesh, *host)).collect::<Vec<_>>();
+    let mut before = counts();
     let runner = thread::spawn(move || Caller::new().load(&load));
-    thread::sleep(warm_up);
-    let before: Vec<u64> = pricing.iter().map(|host| started(mesh, *host)).collect();
+    if !warm_up.is_zero() {
+        thread::sleep(warm_up);
+        before = counts();
+    }
     thread::sleep(WINDOW);
-    let after = pricing.iter().map(|host| started(mesh, *host));
-    let arrived = after.zip(before).map(|(after, before)| after - before).collect();
+    let arrived = counts().into_iter().zip(before).map(|(after, before)| after - before).collect();
     runner.join().unwrap();
     arrived
 }
@@ -70,13 +75,13 @@
     let mesh = small_mesh();
     let limited = Behaviour { rate_limit_milli: RATE * 1_000, ..Behaviour::normal() };
     set_all(&mesh, &limited);
-    for arrived in arrivals(&mesh) {
+    for arrived in arrivals(&mesh, WARM_UP) {
         assert!(arrived <= ALLOWED, "{arrived} requests in {WINDOW:?}, {ALLOWED} allowed");
         assert!(arrived >= u64::from(RATE), "{arrived} requests in {WINDOW:?}: hardly used");
     }
     set_all(&mesh, &Behaviour::normal());
     thread::sleep(Duration::from_secs(3));
-    let arrived = arrivals(&mesh);
+    let arrived = arrivals(&mesh, WARM_UP);
     // The load sends 200 requests a second. For some seconds an entry node may prefer hosts at
     // which requests had to wait less, so their shares are not checked.
     let total: u64 = arrived.iter().sum();
@@ -99,32 +104,17 @@
         ..Behaviour::normal()
     };
     set_all(&mesh, &limited);
-    arrivals(&mesh);
+    arrivals(&mesh, WARM_UP);
     for host in hosts_of(&mesh, "pricing") {
         mesh.node(host).unwrap().kill();
         mesh.start_node(host).unwrap();
     }
     mesh.wait_ready(1).unwrap();
-    for arrived in arrivals_since_restart(&mesh) {
+    for arrived in arrivals(&mesh, Duration::ZERO) {
         assert!(arrived <= ALLOWED, "{arrived} requests in {WINDOW:?}, {ALLOWED} allowed");
     }
 }
 
-/// Like [`arrivals`], but counted from the start of the load.
-fn arrivals_since_restart(mesh: &Mesh) -> Vec<u64> {
-    let pricing = hosts_of(mesh, "pricing");
-    let entries =
-        hosts_of(mesh, "orders").iter().map(|host| mesh.plan.hosts[*host].caller_addr()).collect();
-    let load = reads(entries, WINDOW);
-    let before: Vec<u64> = pricing.iter().map(|host| started(mesh, *host)).collect();
-    let runner = thread::spawn(move || Caller::new().load(&load));
-    thread::sleep(WINDOW);
-    let after = pricing.iter().map(|host| started(mesh, *host));
-    let arrived = after.zip(before).map(|(after, before)| after - before).collect();
-    runner.join().unwrap();
-    arrived
-}
-
 /// Guards against requests that reach an upstream after a response of it has said that it is
 /// leaving, even though its announcements still say that it serves.
 #[test]
