Soak: name a rate limit only at upstreams that are up

A fault of the soak; the check itself is unchanged. The stand-in now also names its limit in failures and refusals, as upstreams do in all responses.

--- a/crates/soak/src/rate_limits.rs
+++ b/crates/soak/src/rate_limits.rs
@@ -80,14 +80,14 @@
 }
 
 impl RateLimits {
-    /// Records that the upstream of a host names the limit from now on; returns false if it names
-    /// it already.
-    pub fn begin(&mut self, host: usize) -> bool {
-        if self.limited.iter().any(|limited| limited.host == host) {
-            return false;
-        }
+    /// Returns whether the upstream of a host names the limit.
+    pub fn is_limited(&self, host: usize) -> bool {
+        self.limited.iter().any(|limited| limited.host == host)
+    }
+
+    /// Records that the upstream of a host names the limit from now on.
+    pub fn begin(&mut self, host: usize) {
         self.limited.push(LimitedUpstream::new(host, Instant::now()));
-        true
     }
 
     /// Records that the node or the upstream of a host was restarted.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -260,10 +260,11 @@
             Fault::SlowUpstream => self.set_upstream_speed(host, 800, false),
             Fault::FailUpstream => self.set_upstream_speed(host, 100, true),
             Fault::LimitUpstream => {
-                if !self.rate_limits.begin(host) {
+                // An upstream that is down names no limit after its restart either.
+                if self.rate_limits.is_limited(host) || !self.set_rate_limit(host, RATE_LIMIT) {
                     return Ok(false);
                 }
-                self.set_rate_limit(host, RATE_LIMIT);
+                self.rate_limits.begin(host);
             }
             Fault::StoreDown => self.store_faults.down = true,
             Fault::StoreSlow => self.store_faults.slow_ms = 400,
@@ -341,14 +342,20 @@
         self.send_behaviour(host);
     }
 
-    fn set_rate_limit(&mut self, host: usize, per_second: u32) {
+    /// Makes an upstream name a rate limit, or none if it is 0; returns whether it is up.
+    fn set_rate_limit(&mut self, host: usize, per_second: u32) -> bool {
         self.behaviours[host].rate_limit_milli = per_second * 1_000;
-        self.send_behaviour(host);
+        let is_up = self.send_behaviour(host);
+        if !is_up {
+            self.behaviours[host].rate_limit_milli = 0;
+        }
+        is_up
     }
 
-    fn send_behaviour(&self, host: usize) {
-        // Fails if the upstream is down, which then restarts with its normal behaviour anyway.
-        let _ = self.mesh.set_behaviour(&self.mesh.plan.hosts[host], &self.behaviours[host]);
+    /// Sends its behaviour to an upstream; returns false if it is down. It then restarts with its
+    /// normal behaviour.
+    fn send_behaviour(&self, host: usize) -> bool {
+        self.mesh.set_behaviour(&self.mesh.plan.hosts[host], &self.behaviours[host]).is_ok()
     }
 
     fn start_node(&mut self, host: usize) -> Result<(), StandinError> {
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -315,12 +315,16 @@
             std::process::abort();
         }
         if self.behaviour().failing {
-            return text(StatusCode::INTERNAL_SERVER_ERROR, "failing\n");
+            let mut response = text(StatusCode::INTERNAL_SERVER_ERROR, "failing\n");
+            self.write_signals(response.headers_mut());
+            return response;
         }
         let mut run = RunGuard::start(self);
         if self.cfg.sheds_load && run.in_flight > u64::from(self.cfg.slots) {
             run.shed();
-            return text(StatusCode::SERVICE_UNAVAILABLE, "no slot\n");
+            let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "no slot\n");
+            self.write_signals(response.headers_mut());
+            return response;
         }
         if headers::parse::<u64>(&parts.headers, &headers::DEADLINE) == Some(0) {
             self.stats().late += 1;
