Soak: an overlapping kill also restarts an upstream; mutations of the rate limit

Traced with the schedule: two overlapping kills of the upstream end at 4.394 and 5.384 s, and each starts it; the limit that began at 5.024 s was lost with the second start, which the soak did not record. A fault of the soak; the check is unchanged.

Mutations: rate limit ignored, ended by a late response, and a status of an earlier process applied, each against the test that must detect it; late_response_does_not_end_the_limit is new.

--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -127,6 +127,19 @@
     assert!(level.limit <= 1, "entry nodes are told of {} free slots", level.limit);
 }
 
+/// Guards against a limit that ends because responses are handled in another order than they were
+/// sent.
+#[test]
+fn late_response_does_not_end_the_limit() {
+    let ms = Timestamp::from_millis;
+    let mut gate = Gate::new(GateConfig::new(), 4);
+    gate.observe_rate_limit(ms(50), ms(10), Some(2.0));
+    gate.observe_rate_limit(ms(60), ms(20), None);
+    assert_eq!(gate.rate_limit(), Some(2.0), "the response is older than the limit");
+    gate.observe_rate_limit(ms(90), ms(55), None);
+    assert_eq!(gate.rate_limit(), None);
+}
+
 /// Guards against a burst after a pause of the process, in which the bucket must not fill without
 /// bounds.
 #[test]
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -123,3 +123,10 @@
 fn count_mismatch(record: &CallerRecord, result: &CallResult) {
     record.mismatched.fetch_add(u64::from(result.mismatched), Ordering::Relaxed);
 }
+
+/// Sends one read on a new connection.
+pub(crate) async fn read_once(to: SocketAddr) -> CallResult {
+    CallerClient::new()
+        .call(to, &Method::GET, "/orders/list", "recovery", HeaderMap::new(), "")
+        .await
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,7 +15,7 @@
 use snipehollow_standins::upstream::Behaviour;
 use tokio::runtime::Runtime;
 
-use crate::callers::{CallerRecord, run_caller};
+use crate::callers::{CallerRecord, read_once, run_caller};
 use crate::invariants::{Violation, check_orders};
 use crate::plan::{Fault, ScheduledFault, fault_schedule};
 use crate::proxy::{LinkMode, Proxy};
@@ -254,8 +254,7 @@
                 if let Some(upstream) = self.mesh.upstream(host) {
                     upstream.kill();
                 }
-                self.behaviours[host] = Behaviour::normal();
-                self.rate_limits.record_restart(host);
+                self.record_upstream_restart(host);
             }
             Fault::SlowUpstream => self.set_upstream_speed(host, 800, false),
             Fault::FailUpstream => self.set_upstream_speed(host, 100, true),
@@ -298,7 +297,11 @@
         match scheduled.fault {
             Fault::KillNode => self.start_node(host)?,
             Fault::PauseNode => self.signal(host, Signal::CONT),
-            Fault::KillUpstream => self.mesh.start_upstream(host)?,
+            Fault::KillUpstream => {
+                self.mesh.start_upstream(host)?;
+                // An overlapping fault may have started it already.
+                self.record_upstream_restart(host);
+            }
             Fault::SlowUpstream | Fault::FailUpstream => self.set_upstream_speed(host, 100, false),
             Fault::LimitUpstream => {
                 self.violations.extend(self.rate_limits.end(&self.mesh, host));
@@ -335,6 +338,11 @@
         }
     }
 
+    fn record_upstream_restart(&mut self, host: usize) {
+        self.behaviours[host] = Behaviour::normal();
+        self.rate_limits.record_restart(host);
+    }
+
     fn set_upstream_speed(&mut self, host: usize, service_time_percent: u32, failing: bool) {
         let behaviour = &mut self.behaviours[host];
         behaviour.service_time_percent = service_time_percent;
@@ -490,9 +498,3 @@
         }
     }
 }
-
-async fn read_once(to: std::net::SocketAddr) -> CallResult {
-    let client = snipehollow_standins::load::CallerClient::new();
-    let map = hyper::HeaderMap::new();
-    client.call(to, &hyper::Method::GET, "/orders/list", "recovery", map, "").await
-}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Mutation test: breaks one invariant of the code at a time in a scratch copy of HEAD and checks
-# that a fuzz test fails. Exits with 1 if a mutation goes undetected or can no longer be applied.
+# that a test fails: a fuzz test, or another one that is named. Exits with 1 if a mutation goes undetected or can no longer be applied.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 copy=$(mktemp -d)
@@ -9,19 +9,19 @@
 export CARGO_TARGET_DIR="$PWD/target/mutations"
 missed=0
 
-# mutate NAME FILE FROM TO: replaces the first FROM in FILE by TO, runs the fuzz tests, restores
-# FILE.
+# mutate NAME FILE FROM TO [PACKAGE TEST]: replaces the first FROM in FILE by TO, runs the fuzz tests
+# or the given test file, restores FILE.
 mutate() {
-    local name=$1 file="$copy/$2" from=$3 to=$4
+    local name=$1 file="$copy/$2" from=$3 to=$4 package=${5:-snipehollow-fuzzing} tests=${6:-decisions}
     cp "$file" "$file.kept"
     FROM=$from TO=$to perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
     if cmp -s "$file" "$file.kept"; then
         echo "$name: the code to mutate was not found"
         missed=$((missed + 1))
-    elif ! (cd "$copy" && cargo test -q -p snipehollow-fuzzing --test decisions --no-run) >"$copy/log" 2>&1; then
+    elif ! (cd "$copy" && cargo test -q -p "$package" --test "$tests" --no-run) >"$copy/log" 2>&1; then
         echo "$name: does not build"
         missed=$((missed + 1))
-    elif (cd "$copy" && cargo test -q -p snipehollow-fuzzing --test decisions) >"$copy/log" 2>&1; then
+    elif (cd "$copy" && cargo test -q -p "$package" --test "$tests") >"$copy/log" 2>&1; then
         echo "$name: NOT detected"
         missed=$((missed + 1))
     else
@@ -60,6 +60,13 @@
     "if head.contains(commit.change_id) => return Err(conflict(Some(&head))),"
 mutate "death of a live host not refuted" $core/membership/swim.rs \
     "if ahead || contradicts {" "if ahead && contradicts {"
+mutate "rate limit of the upstream ignored" $core/admission/gate.rs \
+    "rate_allows && self.running.len()" "self.running.len()" snipehollow-core rate_limit
+mutate "rate limit ended by a late response" $core/admission/upstream_rate_limit.rs \
+    "named.is_none() && dispatched <= self.named_at" "named.is_none() && dispatched < Timestamp::ZERO" \
+    snipehollow-core rate_limit
+mutate "status of an earlier process applied" $core/admission/upstream_status.rs \
+    "start_matches && self.instance" "self.instance" snipehollow-core upstream_status
 
 echo "$missed not detected"
 [ "$missed" -eq 0 ]
