Test of a leaving upstream: wait until the entry node knows the other upstreams

Traced with the logs of the mesh: 0.9 s after its start the entry node knew one upstream of the service, which had just said that it is leaving; the others became known 23 ms after the refusal. The refusal was true, and what the test guards against did not happen: it assumed hosts that the node could not know yet. It now waits until the node knows all of them and is otherwise unchanged.

--- a/tests/all/signals.rs
+++ b/tests/all/signals.rs
@@ -122,9 +122,19 @@
     let mut mesh = small_mesh();
     let leaving = Behaviour { says_leaving: true, ..Behaviour::normal() };
     let victim = hosts_of(&mesh, "pricing")[0];
-    mesh.set_behaviour(&mesh.plan.hosts[victim], &leaving).unwrap();
     let caller = Caller::new();
-    let entry = mesh.plan.hosts[hosts_of(&mesh, "orders")[0]].caller_addr();
+    let entry_host = mesh.plan.hosts[hosts_of(&mesh, "orders")[0]].clone();
+    let entry = entry_host.caller_addr();
+    // Until the entry node knows another upstream of the service, it has nowhere else to send to.
+    mesh.wait_until("the entry node knows all upstreams of the service", LIMIT, || {
+        // The routes are those of the last request; whether it succeeds does not matter yet.
+        caller.get(entry, "/pricing/quote");
+        let routes = mesh.state(&entry_host).unwrap().routes;
+        let known = routes.iter().filter(|route| route.service.as_str() == "pricing").count();
+        known == hosts_of(&mesh, "pricing").len()
+    })
+    .unwrap();
+    mesh.set_behaviour(&mesh.plan.hosts[victim], &leaving).unwrap();
     let before = started(&mesh, victim);
     let deadline = Instant::now() + LIMIT;
     while started(&mesh, victim) == before {
