Read and check rate limits in one place; no second lock for each admitted try

Both protocols read the signals of an upstream with the same lines, and the header form of a status repeated the check of a limit: UpstreamSignals::read and UpstreamRateLimit::parse now serve all. RateLimitChange::Changed had no reader. Each admitted try took the lock of the host state a second time to ask whether a dispatch is to be scheduled; admit returns that now, under the lock that it holds anyway.

No change of behaviour, no test changed.

--- a/crates/core/src/admission/upstream_rate_limit.rs
+++ b/crates/core/src/admission/upstream_rate_limit.rs
@@ -12,13 +12,12 @@
 /// which accepts nothing, or almost nothing, has recovered.
 const MIN_PER_SECOND: f64 = 0.5;
 
-/// Change of the rate limit that a response brought.
+/// Start or end of a rate limit that a response brought. Upstreams may name a slightly different
+/// limit in each response, so other changes are not reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RateLimitChange {
     /// The upstream names this limit, in requests per second, and named none before.
     Started(f64),
-    /// The upstream names another limit than before, in requests per second.
-    Changed(f64),
     /// The upstream no longer names a limit.
     Ended,
 }
@@ -53,6 +52,18 @@
 }
 
 impl UpstreamRateLimit {
+    /// Parses a limit in requests per second; `None` if it is not a number, negative or infinite.
+    ///
+    /// ```
+    /// use snipehollow_core::admission::UpstreamRateLimit;
+    ///
+    /// assert_eq!(UpstreamRateLimit::parse("15.5"), Some(15.5));
+    /// assert_eq!(UpstreamRateLimit::parse("-1"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<f64> {
+        text.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
+    }
+
     /// Returns the limit in requests per second; `None` if the upstream names none.
     pub fn per_second(&self) -> Option<f64> {
         self.per_second
@@ -77,7 +88,6 @@
         self.set(now, named);
         match (before, named) {
             (None, Some(limit)) => Some(RateLimitChange::Started(limit)),
-            (Some(before), Some(limit)) if before != limit => Some(RateLimitChange::Changed(limit)),
             (Some(_), None) => Some(RateLimitChange::Ended),
             _ => None,
         }
--- a/crates/core/src/admission/upstream_status.rs
+++ b/crates/core/src/admission/upstream_status.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use super::UpstreamRateLimit;
 use crate::ids::InstanceId;
 
 /// Start number of an upstream process whose announcement is not known yet.
@@ -61,9 +62,7 @@
         let start = fields.next()?.parse().ok()?;
         let rate_limit = match fields.next()? {
             "" => None,
-            limit => {
-                Some(limit.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)?)
-            }
+            limit => Some(UpstreamRateLimit::parse(limit)?),
         };
         let leaving = match fields.next()? {
             "0" => false,
--- a/crates/node/src/adapters/native.rs
+++ b/crates/node/src/adapters/native.rs
@@ -10,7 +10,7 @@
 use snipehollow_wire::headers;
 
 use super::protocol::{
-    FailureResponse, NoticeError, Protocol, RateSignal, RequestHead, ResponseKind, UpstreamNotice,
+    FailureResponse, NoticeError, Protocol, RequestHead, ResponseKind, UpstreamNotice,
     UpstreamRequest, UpstreamSignals,
 };
 
@@ -69,10 +69,7 @@
     }
 
     fn read_signals(&self, map: &HeaderMap) -> UpstreamSignals {
-        UpstreamSignals {
-            rate: RateSignal::read(map, &headers::RATE_LIMIT),
-            leaving: headers::text(map, &headers::LEAVING) == Some("1"),
-        }
+        UpstreamSignals::read(map, &headers::RATE_LIMIT, &headers::LEAVING)
     }
 
     fn read_notice(
--- a/crates/node/src/adapters/protocol.rs
+++ b/crates/node/src/adapters/protocol.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
+use snipehollow_core::admission::UpstreamRateLimit;
 use snipehollow_core::ids::{InstanceId, RequestId, ServiceName};
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
@@ -81,13 +82,11 @@
 }
 
 impl RateSignal {
-    /// Reads the field `name`, a decimal number of requests per second.
-    pub fn read(map: &HeaderMap, name: &HeaderName) -> RateSignal {
+    fn read(map: &HeaderMap, name: &HeaderName) -> RateSignal {
         if !map.contains_key(name) {
             return RateSignal::Absent;
         }
-        let limit = headers::parse::<f64>(map, name);
-        match limit.filter(|limit| limit.is_finite() && *limit >= 0.0) {
+        match headers::text(map, name).and_then(UpstreamRateLimit::parse) {
             Some(limit) => RateSignal::Named(limit),
             None => RateSignal::Unreadable,
         }
@@ -103,6 +102,29 @@
     pub leaving: bool,
 }
 
+impl UpstreamSignals {
+    /// Reads the headers that a protocol uses: `rate_limit` has requests per second as a decimal
+    /// number, `leaving` is `1` once the upstream is leaving.
+    ///
+    /// ```
+    /// use hyper::HeaderMap;
+    /// use snipehollow_node::adapters::{RateSignal, UpstreamSignals};
+    /// use snipehollow_wire::headers::{LEAVING, RATE_LIMIT};
+    ///
+    /// let mut map = HeaderMap::new();
+    /// map.insert(RATE_LIMIT, "2.5".parse().unwrap());
+    /// let signals = UpstreamSignals::read(&map, &RATE_LIMIT, &LEAVING);
+    /// assert_eq!(signals.rate, RateSignal::Named(2.5));
+    /// assert!(!signals.leaving);
+    /// ```
+    pub fn read(map: &HeaderMap, rate_limit: &HeaderName, leaving: &HeaderName) -> UpstreamSignals {
+        UpstreamSignals {
+            rate: RateSignal::read(map, rate_limit),
+            leaving: headers::text(map, leaving) == Some("1"),
+        }
+    }
+}
+
 /// A notice that an upstream sends to its node.
 #[derive(Clone, Debug)]
 pub enum UpstreamNotice {
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -39,8 +39,7 @@
         match change {
             Some(RateLimitChange::Started(limit)) => decisions::log_rate_limit(instance, limit),
             Some(RateLimitChange::Ended) => decisions::log_rate_limit_end(instance),
-            // Some upstreams name a slightly different limit in each response.
-            Some(RateLimitChange::Changed(_)) | None => {}
+            None => {}
         }
         if starts_leaving {
             decisions::log_said_leaving(instance);
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -30,8 +30,8 @@
 /// Result of [`HostState::admit`].
 pub(crate) enum Admission {
     /// The try was passed to the gate, which sends its decision through the receiver, possibly at
-    /// once.
-    Wait(TryId, oneshot::Receiver<GateDecision>),
+    /// once. The duration is that of [`HostState::schedule_dispatch`].
+    Wait(TryId, oneshot::Receiver<GateDecision>, Option<Duration>),
     /// The try was refused and not run.
     Refused(Reason),
 }
@@ -73,13 +73,13 @@
         self.decision_senders.insert(id, tx);
         let actions = self.handle_arrival(now, id, call);
         self.execute_gate_actions(actions);
-        Admission::Wait(id, rx)
+        Admission::Wait(id, rx, self.schedule_dispatch(now))
     }
 
     /// Returns the time until the upstream's rate limit allows the next waiting try, for a task that
     /// then calls [`HostState::dispatch_waiting`]; `None` if none waits for it, or if there is such
     /// a task already.
-    pub(crate) fn schedule_dispatch(&mut self, now: Timestamp) -> Option<Duration> {
+    fn schedule_dispatch(&mut self, now: Timestamp) -> Option<Duration> {
         if self.dispatch_scheduled {
             return None;
         }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -196,10 +196,12 @@
         }
         admission
     };
-    let Admission::Wait(id, rx) = admission else {
+    let Admission::Wait(id, rx, dispatch_in) = admission else {
         return NodeResponse::refusal(Reason::NoUpstream).with_unspent(granted);
     };
-    schedule_dispatch(traffic);
+    if let Some(wait) = dispatch_in {
+        spawn_dispatch(traffic, wait);
+    }
     let mut guard = TryGuard::new(traffic, id);
     match await_decision(traffic, call, rx).await {
         GateDecision::Refuse(reason) => {
@@ -213,12 +215,8 @@
 }
 
 /// Starts a task that dispatches the waiting tries one by one as the upstream's rate limit allows,
-/// if there are any and it does not run yet.
-fn schedule_dispatch(traffic: &TrafficContext) {
-    let now = traffic.shared.clock.now();
-    let Some(mut wait) = traffic.shared.host().schedule_dispatch(now) else {
-        return;
-    };
+/// the first one after `wait`.
+fn spawn_dispatch(traffic: &TrafficContext, mut wait: Duration) {
     let shared = Arc::clone(&traffic.shared);
     tokio::spawn(async move {
         loop {
