--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -13,7 +13,7 @@
 mod weighted;
 
 pub use latency::LatencyStats;
-pub use link::LinkBudget;
+pub use link::{LinkBudget, LinkCharge};
 pub use router::{Candidate, Distance, FinishedTry, Route, RouteQuery, Router, RouterConfig};
 pub use stats::{HostStats, TryResult};
 pub use statuses::UpstreamStatuses;
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -14,7 +14,7 @@
 use snipehollow_core::retry::{ActiveRuns, AllowanceTable, RetryBudget};
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::{
-    FinishedTry, LinkBudget, Router, RouterConfig, UpstreamStatuses, WeightedChoice,
+    FinishedTry, LinkBudget, LinkCharge, Router, RouterConfig, UpstreamStatuses, WeightedChoice,
 };
 use snipehollow_core::ticket::{ProcessStartId, TicketConfig, TicketKey, TicketTable};
 use snipehollow_core::time::Timestamp;
@@ -224,9 +224,14 @@
         self.router.finish_try(now, service, host, finished);
     }
 
-    /// Charges bytes to the bandwidth budget of the link between regions.
-    pub(crate) fn charge_link(&mut self, now: Timestamp, bytes: u64) {
-        self.router.link_mut().charge(now, bytes);
+    /// Charges a request to the bandwidth budget of the link between regions.
+    pub(crate) fn charge_link(&mut self, now: Timestamp, request_bytes: u64) -> LinkCharge {
+        self.router.link_mut().charge(now, request_bytes)
+    }
+
+    /// Settles the charge of a try that has ended with the size of the response.
+    pub(crate) fn settle_link(&mut self, now: Timestamp, charge: LinkCharge, response_bytes: u64) {
+        self.router.link_mut().settle(now, charge, response_bytes);
     }
 
     /// Returns true with the given probability.
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -11,7 +11,7 @@
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::{Allowance, RetryState};
-use snipehollow_core::routing::{Distance, FinishedTry, Route, RouteQuery, TryResult};
+use snipehollow_core::routing::{Distance, FinishedTry, LinkCharge, Route, RouteQuery, TryResult};
 use snipehollow_core::time::Timestamp;
 use snipehollow_core::trace::{Stage, Step};
 
@@ -211,12 +211,15 @@
     let name = &route.host.host;
     let granted = retries.grant();
     let sent = traffic.shared.clock.now();
-    let status = {
+    let (status, link_charge) = {
         let mut host = traffic.shared.host();
         host.record_try_sent(name);
-        host.known_status(sent, name)
+        let link_charge = (route.distance == Distance::Remote)
+            .then(|| host.charge_link(sent, call.body.len() as u64 + HEAD_BYTES));
+        (host.known_status(sent, name), link_charge)
     };
-    let mut guard = RouteGuard { traffic, call, route, started: sent, finished: false };
+    let mut guard =
+        RouteGuard { traffic, call, route, started: sent, link_charge, finished: false };
     let response = if *name == traffic.shared.settings.host {
         gate::run(traffic, call, granted, status.as_ref()).await
     } else {
@@ -359,6 +362,8 @@
     route: &'a Route,
     started: Timestamp,
     finished: bool,
+    /// Charge for the link between regions; `None` if the try does not use it.
+    link_charge: Option<LinkCharge>,
 }
 
 impl RouteGuard<'_> {
@@ -382,16 +387,17 @@
         if response.reason == Reason::BudgetSpent {
             host.record_budget_spent(now, &self.call.service, self.call.class.rank);
         }
-        if self.route.distance == Distance::Remote {
-            let bytes = (self.call.body.len() + response.body.len()) as u64 + HEAD_BYTES_PER_TRY;
-            host.charge_link(now, bytes);
+        if let Some(charge) = self.link_charge {
+            let responded = response.reason != Reason::Unreachable;
+            let bytes = if responded { response.body.len() as u64 + HEAD_BYTES } else { 0 };
+            host.settle_link(now, charge, bytes);
         }
         self.finished = true;
     }
 }
 
-/// Bytes charged to the link budget for the heads of a request and its response.
-const HEAD_BYTES_PER_TRY: u64 = 600;
+/// Bytes charged to the link budget for the head of a request or of a response.
+const HEAD_BYTES: u64 = 300;
 
 impl Drop for RouteGuard<'_> {
     fn drop(&mut self) {
