Issue no ticket at a gate that is leaving

An order got the outcome unknown (no-host) when a node was stopped under load, once in about eight runs of sigterm_under_load_fails_no_request. Cause, traced earlier: the gate of a draining host still issued a ticket, and 7 ms later the entry node learned that the host had left, so the order with the ticket found no host.

A gate that is leaving, or has no upstream of the service, now refuses with not-run, and the entry node asks another host.

--- a/benches/src/bin/decision-cost.rs
+++ b/benches/src/bin/decision-cost.rs
@@ -77,7 +77,7 @@
         .collect::<Result<_, NameError>>()?;
     let link = LinkBudget::new(1e6, Timestamp::ZERO);
     let mut router = Router::new(RouterConfig::new(zone, region), link);
-    router.set_hosts(FastMap::from_iter([(service.clone(), hosts)]));
+    router.set_hosts(Timestamp::ZERO, FastMap::from_iter([(service.clone(), hosts)]));
     let mut rng = Rng::new(1);
     let now = Timestamp::from_millis(1);
     let class = ClassName::new("quote")?;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -122,26 +122,49 @@
 /// if the service has more than one host.
 const EJECTION_DIVISOR: usize = 3;
 
+/// How long [`Router::find`] still returns a host that is no longer listed.
+const FORMER_HOST_RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of hosts kept after they were listed; beyond it, the oldest are dropped.
+const MAX_FORMER_HOSTS: usize = 512;
+
+/// Host that is no longer listed for its service.
+#[derive(Clone, Debug)]
+struct FormerHost {
+    service: ServiceName,
+    candidate: Candidate,
+    /// Time at which it was first missing.
+    since: Timestamp,
+}
+
 /// Chooses hosts by the expected cost of a try.
 #[derive(Clone, Debug)]
 pub struct Router {
     cfg: RouterConfig,
     services: FastMap<ServiceName, Vec<Candidate>>,
     stats: FastMap<HostName, HostStats>,
+    /// Hosts that were listed recently, oldest first.
+    former: Vec<FormerHost>,
     link: LinkBudget,
 }
 
 impl Router {
     /// Creates a router without hosts.
     pub fn new(cfg: RouterConfig, link: LinkBudget) -> Router {
-        Router { cfg, services: FastMap::default(), stats: FastMap::default(), link }
+        Router {
+            cfg,
+            services: FastMap::default(),
+            stats: FastMap::default(),
+            former: Vec::new(),
+            link,
+        }
     }
 
     /// Replaces the hosts of all services.
     ///
     /// Keeps the statistics of hosts that are still listed or have tries in flight.
-    pub fn set_hosts(&mut self, services: FastMap<ServiceName, Vec<Candidate>>) {
-        self.services = services;
+    pub fn set_hosts(&mut self, now: Timestamp, services: FastMap<ServiceName, Vec<Candidate>>) {
+        let before = std::mem::replace(&mut self.services, services);
+        self.keep_former(now, before);
         let known: crate::collections::FastSet<&HostName> =
             self.services.values().flatten().map(|candidate| &candidate.host).collect();
         self.stats.retain(|host, stats| known.contains(host) || stats.in_flight() > 0);
@@ -163,8 +186,42 @@
     }
 
     /// Returns the host of a service with this name, for a request that must go to this host.
-    pub fn find(&self, service: &ServiceName, host: &HostName) -> Option<&Candidate> {
-        self.hosts(service).iter().find(|candidate| candidate.host == *host)
+    ///
+    /// Also returns a host that was listed until recently: it may still respond that it is leaving
+    /// and has not run the request, or return the response to an earlier run.
+    pub fn find(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        host: &HostName,
+    ) -> Option<&Candidate> {
+        let listed = self.hosts(service).iter().find(|candidate| candidate.host == *host);
+        listed.or_else(|| {
+            let is_former = |former: &&FormerHost| {
+                former.service == *service
+                    && former.candidate.host == *host
+                    && now.since(former.since) < FORMER_HOST_RETENTION
+            };
+            self.former.iter().rev().find(is_former).map(|former| &former.candidate)
+        })
+    }
+
+    /// Keeps the hosts that are missing from the new lists for [`Router::find`].
+    fn keep_former(&mut self, now: Timestamp, before: FastMap<ServiceName, Vec<Candidate>>) {
+        self.former.retain(|former| now.since(former.since) < FORMER_HOST_RETENTION);
+        for (service, hosts) in before {
+            let listed: crate::collections::FastSet<&HostName> =
+                self.hosts(&service).iter().map(|candidate| &candidate.host).collect();
+            let missing: Vec<Candidate> =
+                hosts.into_iter().filter(|candidate| !listed.contains(&candidate.host)).collect();
+            self.former.extend(missing.into_iter().map(|candidate| FormerHost {
+                service: service.clone(),
+                candidate,
+                since: now,
+            }));
+        }
+        let excess = self.former.len().saturating_sub(MAX_FORMER_HOSTS);
+        self.former.drain(..excess);
     }
 
     /// Chooses a host for a try.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -43,7 +43,7 @@
         ];
         let link = LinkBudget::new(1e9, Timestamp::ZERO);
         let mut router = Router::new(RouterConfig::new(zone("z1"), region("r1")), link);
-        router.set_hosts(FastMap::from_iter([(service.clone(), hosts)]));
+        router.set_hosts(Timestamp::ZERO, FastMap::from_iter([(service.clone(), hosts)]));
         let class = ClassName::new("quote").unwrap();
         Fixture { router, rng: Rng::new(1), service, class, now: Timestamp::from_millis(1) }
     }
@@ -145,3 +145,23 @@
     assert_eq!(WeightedChoice::default().next(&[]), None);
     assert_eq!(WeightedChoice::starting_at(&[0], 5).next(&[0]), None);
 }
+
+/// Guards against a request with a ticket that finds no host once its host is leaving, although the
+/// host would still respond that it has not run the request.
+#[test]
+fn find_returns_a_host_that_was_listed_recently() {
+    let mut fixture = Fixture::new();
+    let (service, home) = (fixture.service.clone(), HostName::new("home").unwrap());
+    let rest = fixture.router.hosts(&service)[1..].to_vec();
+    let left = Timestamp::from_millis(5_000);
+    fixture.router.set_hosts(left, FastMap::from_iter([(service.clone(), rest)]));
+    let is_found = |router: &Router, after: Duration| {
+        router.find(left + after, &service, &home).is_some_and(|found| found.host == home)
+    };
+    assert!(is_found(&fixture.router, Duration::from_secs(10)));
+    assert!(!is_found(&fixture.router, Duration::from_secs(60)));
+    let other = ServiceName::new("orders").unwrap();
+    assert!(fixture.router.find(left, &other, &home).is_none());
+    fixture.now = left;
+    assert_eq!(fixture.share_of("home"), 0.0, "no other request is sent to it");
+}
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -157,7 +157,7 @@
     pub(crate) fn router(&mut self, now: Timestamp, snapshot: &Arc<Snapshot>) -> &mut Router {
         let current = self.snapshot.as_ref().is_some_and(|known| Arc::ptr_eq(known, snapshot));
         if !current {
-            self.router.set_hosts(snapshot.hosts.clone());
+            self.router.set_hosts(now, snapshot.hosts.clone());
             self.router.link_mut().set_rate(now, snapshot.link_bytes_per_second);
             self.snapshot = Some(Arc::clone(snapshot));
         }
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -6,7 +6,7 @@
 use snipehollow_config::settings::AdmissionMode;
 use snipehollow_core::admission::{Action, Arrival, Completion, LoadLevel};
 use snipehollow_core::class::{ClassPolicy, Rank};
-use snipehollow_core::ids::{CallerKey, InstanceId, TryId};
+use snipehollow_core::ids::{CallerKey, InstanceId, ServiceName, TryId};
 use snipehollow_core::quarantine::QuarantineDecision;
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
@@ -112,21 +112,30 @@
         true
     }
 
-    /// Returns the reason to refuse an arriving try before it reaches the gate, if any: the host or
-    /// its upstream accepts no requests, or the quarantine does not allow the request to run now.
-    ///
-    /// Also records the suspicion that a suspect call carries.
-    fn refusal_reason(&mut self, now: Timestamp, call: &Call) -> Option<Reason> {
+    /// Returns the reason why this host runs no requests of a service now, if any: the host or its
+    /// upstream is leaving, or there is no upstream of the service.
+    pub(crate) fn unavailability(&self, now: Timestamp, service: &ServiceName) -> Option<Reason> {
         if self.admission_stopped {
             return Some(Reason::Leaving);
         }
         let Some(upstream) = &self.upstream else {
             return Some(Reason::NoUpstream);
         };
-        if upstream.info.service != call.service || !upstream.accepts_requests(now) {
+        if upstream.info.service != *service || !upstream.accepts_requests(now) {
             let leaving = upstream.gate.is_leaving();
             return Some(if leaving { Reason::Leaving } else { Reason::NoUpstream });
         }
+        None
+    }
+
+    /// Returns the reason to refuse an arriving try before it reaches the gate, if any: the host is
+    /// unavailable, or the quarantine does not allow the request to run now.
+    ///
+    /// Also records the suspicion that a suspect call carries.
+    fn refusal_reason(&mut self, now: Timestamp, call: &Call) -> Option<Reason> {
+        if let Some(reason) = self.unavailability(now, &call.service) {
+            return Some(reason);
+        }
         if call.suspect {
             self.quarantine.suspect(now, call.fingerprint);
         }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -175,7 +175,7 @@
     let chosen = match &call.ticket {
         Some(ticket) => {
             let router = host.router(now, &snapshot);
-            let issuer = router.find(&call.service, &ticket.host).cloned();
+            let issuer = router.find(now, &call.service, &ticket.host).cloned();
             issuer
                 .map(|host| Route { distance: router.distance(&host), host })
                 .ok_or(Reason::NoHost)
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -23,7 +23,7 @@
 use super::try_guard::TryGuard;
 use super::{Call, NodeResponse, TrafficContext};
 use crate::adapters::{ResponseKind, UpstreamRequest};
-use crate::host::{Admission, GateDecision, StartedTry, StoredResponse, TicketAction};
+use crate::host::{Admission, GateDecision, HostState, StartedTry, StoredResponse, TicketAction};
 use crate::logging::decisions;
 
 /// How long after the deadline the node still waits for the response to a ticketed run, so that a
@@ -64,16 +64,26 @@
 /// Refuses a try of an entry node that knows that the local upstream is leaving.
 fn refuse_leaving(traffic: &TrafficContext, call: &Call, granted: Allowance) -> NodeResponse {
     let now = traffic.shared.clock.now();
-    let mut host = traffic.shared.host();
-    record_step(traffic, &mut host, call, Stage::Gate, Reason::Leaving, Some(Outcome::NotRun));
-    let (load_level, rate_limit) = (host.load_level(), host.rate_limit());
-    drop(host);
-    let response =
-        NodeResponse::refusal(Reason::Leaving).with_unspent(granted).with_load_level(load_level);
+    let (response, rate_limit) = {
+        let mut host = traffic.shared.host();
+        (refuse(traffic, &mut host, call, granted, Reason::Leaving), host.rate_limit())
+    };
     decisions::log_gate_result(call, now, &response, response.load_level.as_ref(), rate_limit);
     response
 }
 
+/// Records the refusal of a try that was not dispatched, and builds the response.
+fn refuse(
+    traffic: &TrafficContext,
+    host: &mut HostState,
+    call: &Call,
+    granted: Allowance,
+    reason: Reason,
+) -> NodeResponse {
+    record_step(traffic, host, call, Stage::Gate, reason, Some(Outcome::NotRun));
+    NodeResponse::refusal(reason).with_unspent(granted).with_load_level(host.load_level())
+}
+
 async fn run_by_repeat_policy(
     traffic: &TrafficContext,
     call: &Arc<Call>,
@@ -91,13 +101,12 @@
 fn require_ticket(traffic: &TrafficContext, call: &Call, granted: Allowance) -> NodeResponse {
     let now = traffic.shared.clock.now();
     let mut host = traffic.shared.host();
+    // A ticket can be redeemed only here, so it would be useless.
+    if let Some(reason) = host.unavailability(now, &call.service) {
+        return refuse(traffic, &mut host, call, granted, reason);
+    }
     let ticket = host.issue_ticket(now).to_string();
-    let load_level = host.load_level();
-    record_step(traffic, &mut host, call, Stage::Gate, Reason::TicketNeeded, Some(Outcome::NotRun));
-    NodeResponse::refusal(Reason::TicketNeeded)
-        .with_ticket(ticket)
-        .with_unspent(granted)
-        .with_load_level(load_level)
+    refuse(traffic, &mut host, call, granted, Reason::TicketNeeded).with_ticket(ticket)
 }
 
 async fn run_ticketed(
@@ -190,9 +199,7 @@
         let mut host = traffic.shared.host();
         let admission = host.admit(now, call);
         if let Admission::Refused(reason) = admission {
-            record_step(traffic, &mut host, call, Stage::Gate, reason, Some(Outcome::NotRun));
-            let load_level = host.load_level();
-            return NodeResponse::refusal(reason).with_unspent(granted).with_load_level(load_level);
+            return refuse(traffic, &mut host, call, granted, reason);
         }
         admission
     };
@@ -476,7 +483,7 @@
 
 fn record_step(
     traffic: &TrafficContext,
-    host: &mut crate::host::HostState,
+    host: &mut HostState,
     call: &Call,
     stage: Stage,
     reason: Reason,
--- a/crates/standins/src/mesh/mod.rs
+++ b/crates/standins/src/mesh/mod.rs
@@ -7,6 +7,6 @@
 mod processes;
 mod sites;
 
-pub use plan::{HostPlan, MeshPlan, ServicePlan};
+pub use plan::{HostPlan, MeshPlan, PEER_SECRET, ServicePlan};
 pub use processes::{Mesh, Process};
 pub use sites::{CARTAGO_ZONES, KOPPIESRAND_ZONES, cartago, koppiesrand};
--- a/crates/standins/src/mesh/plan.rs
+++ b/crates/standins/src/mesh/plan.rs
@@ -16,7 +16,8 @@
 const ADDRESSES_PER_MESH: u32 = 1_024;
 /// Number of meshes that fit into 127.0.0.0/8 at [`ADDRESSES_PER_MESH`] addresses each.
 const MAX_MESHES: u32 = 8_192;
-const PEER_SECRET: &str = "secret-of-a-mesh-on-loopback";
+/// Secret that the nodes of a mesh share.
+pub const PEER_SECRET: &str = "secret-of-a-mesh-on-loopback";
 
 static NEXT_MESH: AtomicU32 = AtomicU32::new(0);
 
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -3,9 +3,13 @@
 use std::thread;
 use std::time::Duration;
 
+use hyper::{HeaderMap, Method};
 use rustix::process::Signal;
 use snipehollow_core::outcome::Outcome;
+use snipehollow_core::reason::Reason;
+use snipehollow_standins::mesh::PEER_SECRET;
 use snipehollow_standins::upstream::Behaviour;
+use snipehollow_wire::headers;
 
 use crate::support::{Caller, LIMIT, mixed_load, small_mesh};
 
@@ -67,6 +71,38 @@
     assert!(elsewhere.is_ok(), "another host must still serve: {elsewhere:?}");
 }
 
+/// Guards against a ticket of a host that will not run the request any more: the caller that presents
+/// it may find no host, which makes the outcome unknown.
+#[test]
+fn draining_gate_issues_no_ticket() {
+    let mesh = small_mesh();
+    let host = mesh.plan.hosts.iter().find(|host| host.name == "orders-1").cloned().unwrap();
+    let caller = Caller::new();
+    let ask = || {
+        let mut map = HeaderMap::new();
+        for (name, value) in [
+            (headers::SECRET, PEER_SECRET),
+            (headers::ZONE, host.zone.as_str()),
+            (headers::REQUEST_ID, "o-1"),
+            (headers::CALLER, "branch"),
+            (headers::CLASS, "order;0;10;never"),
+            (headers::DEADLINE, "8000"),
+            (headers::ALLOWANCE, "2"),
+            (headers::ATTEMPT, "0"),
+        ] {
+            headers::set(&mut map, name, value);
+        }
+        caller.send(host.peer_addr(), &Method::POST, "/orders/new", map, "net")
+    };
+    assert!(ask().ticket.is_some(), "a serving host issues a ticket");
+    let output = mesh.run_cli(&["drain", &host.name]).unwrap();
+    assert!(output.status.success(), "drain failed: {}", String::from_utf8_lossy(&output.stderr));
+    let refused = ask();
+    assert_eq!(refused.ticket, None, "{refused:?}");
+    assert_eq!(refused.outcome, Some(Outcome::NotRun), "{refused:?}");
+    assert_eq!(refused.reason, Some(Reason::Leaving), "{refused:?}");
+}
+
 /// Guards against planned stops that leave a service without any host: both zones of `pricing` are
 /// stopped in the hour from 01:00 to 02:00.
 #[test]
