Check deadline and upstream again when a try is sent

Operators of similar systems report processes that were paused for seconds and then acted on a permission that had run out. Here the gate decides to dispatch a try, and the task that sends it may run only after a pause: it sent the request although its deadline had passed, the announcement of the upstream had expired, or its departure had been acknowledged meanwhile.

The try is now checked once more when it is sent, and refused as not-run. The two tests of paused tries cover a passed deadline, an expired and a renewed announcement, a draining heartbeat, a departure and a drain.

--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -10,6 +10,8 @@
 mod shedding;
 mod signals;
 mod state;
+#[cfg(test)]
+mod tests;
 mod tickets;
 mod tries;
 mod upstream;
--- /dev/null
+++ b/crates/node/src/host/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of tries whose process was paused between the decision of the gate and the dispatch.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use snipehollow_config::settings::NodeSettings;
+use snipehollow_core::class::{ClassPolicy, Rank};
+use snipehollow_core::ids::{
+    CallerKey, ClassName, Fingerprint, InstanceId, RequestId, ServiceName,
+};
+use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
+use snipehollow_core::reason::Reason;
+use snipehollow_core::retry::Allowance;
+use snipehollow_core::ticket::{ProcessStartId, TicketKey};
+use snipehollow_core::time::Timestamp;
+use snipehollow_wire::admin::Announcement;
+
+use super::{Admission, HostState};
+use crate::traffic::Call;
+
+const SETTINGS: &str = "[host]\nname = h1\nzone = z1\nregion = r1\n[listen]\n\
+    caller = 127.0.0.1:1\npeer = 127.0.0.1:2\ncontrol = 127.0.0.1:3\nupstream = 127.0.0.1:4\n\
+    admin = 127.0.0.1:5\n[peers]\nsecret = 0123456789abcdef\n";
+/// Time to live of announcements.
+const TTL: Duration = Duration::from_secs(6);
+
+fn announcement(sequence: u64, state: UpstreamState) -> Announcement {
+    Announcement {
+        upstream: UpstreamInfo { service: service(), slots: 4, state },
+        addr: "127.0.0.1:9".parse().unwrap(),
+        connections: 100,
+        start: 1,
+        ttl_ms: TTL.as_millis() as u32,
+        instance: InstanceId::new("i-1").ok(),
+        sequence,
+        cold_ms: 0,
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("pricing").unwrap()
+}
+
+fn call(now: Timestamp, deadline: Duration) -> Call {
+    let class = ClassPolicy::new(ClassName::new("quote").unwrap(), Rank(0));
+    Call {
+        id: RequestId::new("r-1").unwrap(),
+        service: service(),
+        virtual_host: None,
+        caller_service: None,
+        method: Method::GET,
+        path: "/".into(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        class: Arc::new(class),
+        caller: CallerKey::new("branch").unwrap(),
+        received: now,
+        deadline: now + deadline,
+        fingerprint: Fingerprint::of("pricing", "GET", "/", b""),
+        ticket: None,
+        suspect: false,
+        attempt: 0,
+        repeat_share: 0.0,
+    }
+}
+
+/// Returns the reason why a try that the gate decided to dispatch is not sent after a pause during
+/// which `meanwhile` is received; `None` if it is sent.
+fn refusal_after(
+    pause: Duration,
+    deadline: Duration,
+    meanwhile: impl Fn(&mut HostState, Timestamp),
+) -> Option<Reason> {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+    let now = Timestamp::from_millis(1);
+    host.handle_announcement(now, &announcement(1, UpstreamState::Serving));
+    let call = call(now, deadline);
+    let Admission::Wait(id, mut rx, _) = host.admit(now, &call) else {
+        panic!("refused on arrival");
+    };
+    assert!(rx.try_recv().is_ok(), "a slot is free");
+    let now = now + pause;
+    meanwhile(&mut host, now);
+    host.start_try(now, id, &call, Allowance(0)).err()
+}
+
+/// Guards against requests that are sent on a permission which ran out while the process was paused:
+/// the deadline of the request, or the announcement of the upstream.
+#[test]
+fn try_is_not_sent_after_its_permission_ran_out_in_a_pause() {
+    let long = Duration::from_secs(60);
+    assert_eq!(refusal_after(Duration::from_millis(10), long, |_, _| {}), None);
+    let deadline = Duration::from_secs(2);
+    let pause = deadline + Duration::from_millis(1);
+    assert_eq!(refusal_after(pause, deadline, |_, _| {}), Some(Reason::DeadlinePassed));
+    let refusal = refusal_after(TTL, long, |_, _| {});
+    assert_eq!(refusal, Some(Reason::NoUpstream), "the announcement has expired");
+    let renewed = refusal_after(TTL, long, |host, now| {
+        host.handle_announcement(now, &announcement(2, UpstreamState::Serving));
+    });
+    assert_eq!(renewed, None);
+}
+
+/// Guards against requests that reach an upstream after its departure was acknowledged.
+#[test]
+fn try_is_not_sent_to_an_upstream_that_left_in_a_pause() {
+    let (pause, long) = (Duration::from_millis(10), Duration::from_secs(60));
+    let draining = refusal_after(pause, long, |host, now| {
+        host.handle_announcement(now, &announcement(2, UpstreamState::Leaving));
+    });
+    assert_eq!(draining, Some(Reason::Leaving));
+    let departed = refusal_after(pause, long, |host, now| {
+        host.handle_upstream_departure(now, &InstanceId::new("i-1").unwrap());
+    });
+    assert_eq!(departed, Some(Reason::Leaving));
+    let drained = refusal_after(pause, long, |host, _| host.stop_admission());
+    assert_eq!(drained, Some(Reason::Leaving));
+}
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -179,15 +179,24 @@
 
     /// Records that a dispatched try is about to be sent.
     ///
-    /// Returns `None` if there is no upstream any more.
+    /// # Errors
+    ///
+    /// Returns the reason why the try must not be sent any more: the process may have been paused
+    /// since the gate decided to dispatch it.
     pub(crate) fn start_try(
         &mut self,
         now: Timestamp,
         id: TryId,
         call: &Call,
         granted: Allowance,
-    ) -> Option<StartedTry> {
-        let upstream = self.upstream.as_ref()?;
+    ) -> Result<StartedTry, Reason> {
+        if let Some(reason) = self.unavailability(now, &call.service) {
+            return Err(reason);
+        }
+        if now >= call.deadline {
+            return Err(Reason::DeadlinePassed);
+        }
+        let upstream = self.upstream.as_ref().ok_or(Reason::NoUpstream)?;
         let (addr, start) = (upstream.addr, upstream.start);
         let instance = upstream.instance.clone();
         if self.admission_mode == AdmissionMode::PassThrough {
@@ -205,7 +214,7 @@
             deadline: call.deadline,
             ended: CancellationToken::new(),
         });
-        Some(StartedTry { addr, start, instance, context })
+        Ok(StartedTry { addr, start, instance, context })
     }
 
     /// Records the end of a try and fills the slot that becomes free.
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -265,13 +265,16 @@
         let now = traffic.shared.clock.now();
         let mut host = traffic.shared.host();
         let started = host.start_try(now, guard.id, call, granted);
-        let reason = if started.is_some() { Reason::SlotFree } else { Reason::NoUpstream };
+        let reason = started.as_ref().err().copied().unwrap_or(Reason::SlotFree);
         host.trace(&call.id, Step::new(now, Stage::Gate, reason, call.attempt));
         started
     };
-    let Some(started) = started else {
-        guard.end(Completion::Failed);
-        return NodeResponse::refusal(Reason::NoUpstream).with_unspent(granted);
+    let started = match started {
+        Ok(started) => started,
+        Err(reason) => {
+            let load_level = guard.end(Completion::Failed).1;
+            return NodeResponse::refusal(reason).with_unspent(granted).with_load_level(load_level);
+        }
     };
     guard.started = traffic.shared.clock.now();
     let req = match upstream_request(traffic, call, &started, guard.started) {
