Take no response of an upstream for a request that it does not name

Operators of similar systems report a faulty instance that wrote an earlier refusal once more on a kept connection: callers were told 'not run, try again' for requests that ran. Reproduced with a faulty instance: a retry after a refusal went out on the connection that had carried the refusal, the repeated refusal named the same id, and the caller got 503 for a request that the instance had run (repeated_refusal_refuses_no_later_request, '/x/refused/late: 503 promises that it did not run' on the old code).

- Every response on the platform must name its request, whatever its status; in the project's own protocol a refusal without the id proves nothing any more, and one with another id is mismatched.
- A connection is not used again for the request that it carried last, so that a repeated response of that request cannot be taken for a new one.
- Responses between nodes name their request as well.
- An invariant checks that only a response which names the request shows that it did not run.

Second copies of successes reached no other caller before, and do not now (second_copy_of_a_response_reaches_no_other_caller).

--- a/crates/node/src/adapters/native.rs
+++ b/crates/node/src/adapters/native.rs
@@ -56,14 +56,21 @@
 
     fn classify_response(
         &self,
-        _request: &UpstreamRequest<'_>,
+        request: &UpstreamRequest<'_>,
         status: StatusCode,
-        _map: &HeaderMap,
+        map: &HeaderMap,
     ) -> ResponseKind {
+        let is_named = map.contains_key(headers::REQUEST_ID);
+        if is_named && self.response_id(map) != Some(request.id.as_str()) {
+            return ResponseKind::Mismatched;
+        }
         match status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if is_named => {
                 ResponseKind::Refused
             }
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                ResponseKind::UnidentifiedRefusal
+            }
             _ => ResponseKind::Complete,
         }
     }
--- a/crates/node/src/adapters/protocol.rs
+++ b/crates/node/src/adapters/protocol.rs
@@ -62,12 +62,28 @@
     NotExecuted,
     /// The upstream refused the request, possibly after it had begun to run it.
     Refused,
+    /// A refusal that names no request. It may repeat the refusal of an earlier one, so it does not
+    /// show whether this request runs.
+    UnidentifiedRefusal,
     /// Another instance now has the address; it did not run the request.
     OtherInstance,
     /// A response to another request, or one that lacks the upstream's proof of origin.
     Mismatched,
 }
 
+impl ResponseKind {
+    /// Returns whether the response may show that the upstream did not run the request, for which
+    /// it must name the request.
+    pub(crate) fn may_prove_not_run(self) -> bool {
+        match self {
+            ResponseKind::NotExecuted | ResponseKind::Refused | ResponseKind::OtherInstance => true,
+            ResponseKind::Complete
+            | ResponseKind::UnidentifiedRefusal
+            | ResponseKind::Mismatched => false,
+        }
+    }
+}
+
 /// What the head of an upstream's response says about its rate limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RateSignal {
@@ -164,6 +180,12 @@
     /// Writes the protocol's headers for a request to an upstream.
     fn write_request(&self, request: &UpstreamRequest<'_>, map: &mut HeaderMap);
 
+    /// Returns the id of the request that a response of an upstream names; `None` if it names none
+    /// or cannot be read.
+    fn response_id<'a>(&self, map: &'a HeaderMap) -> Option<&'a str> {
+        headers::text(map, &headers::REQUEST_ID)
+    }
+
     /// Classifies a completely received response of an upstream.
     fn classify_response(
         &self,
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use snipehollow_core::ids::RequestId;
 use snipehollow_core::outcome::{Dispatched, Undispatched};
 use tokio::time::timeout_at;
 
@@ -49,7 +50,9 @@
 
 /// How a request is sent, and which response is accepted as complete.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ExchangeOptions {
+pub(crate) struct ExchangeOptions<'a> {
+    /// Id of the request, the same for all its tries; `None` for a request without one.
+    pub(crate) id: Option<&'a RequestId>,
     /// Maximum size of the response body, in bytes.
     pub(crate) max_bytes: usize,
     /// Whether a response without length or chunked encoding counts as complete when the
@@ -66,14 +69,14 @@
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
     deadline: Instant,
-    options: ExchangeOptions,
+    options: ExchangeOptions<'_>,
 ) -> Result<BufferedResponse, ExchangeError> {
     let deadline = tokio::time::Instant::from_std(deadline);
     let method = req.method().clone();
     let mut proof = Undispatched::new();
     let mut req = req;
     loop {
-        let mut connection = match pool.take(addr, options.reuse) {
+        let mut connection = match pool.take(addr, options.reuse, options.id) {
             Some(connection) => connection,
             None => match timeout_at(deadline, pool.connect(addr)).await {
                 Ok(Ok(connection)) => connection,
@@ -85,7 +88,7 @@
         };
         // From here on the request counts as sent unless the connection proves that no byte of it
         // was written.
-        let sent = timeout_at(deadline, connection.send(req)).await;
+        let sent = timeout_at(deadline, connection.send(req, options.id)).await;
         match sent {
             Err(_) => return Err(ExchangeError::TimedOut(proof.dispatch())),
             Ok(Err(SendError::Failed)) => return Err(ExchangeError::Incomplete(proof.dispatch())),
@@ -118,7 +121,7 @@
 async fn read_buffered(
     method: &Method,
     response: Response<Incoming>,
-    options: ExchangeOptions,
+    options: ExchangeOptions<'_>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), ReadError> {
     let (parts, body) = response.into_parts();
     if !options.allow_unframed && !is_framed(method, parts.status, &parts.headers) {
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Uri};
 use snipehollow_core::admission::{Completion, UpstreamStatus};
 use snipehollow_core::class::Repeat;
+use snipehollow_core::invariant;
 use snipehollow_core::outcome::{Outcome, RefusalTrust};
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
@@ -288,6 +289,7 @@
     };
     let deadline = traffic.shared.clock.instant(call.deadline) + grace;
     let options = ExchangeOptions {
+        id: Some(&call.id),
         max_bytes: traffic.shared.settings.bounds.max_response_bytes,
         allow_unframed: traffic.shared.adapters.protocol.allows_close_delimited_responses(),
         reuse: Reuse::of(call.class.repeat),
@@ -364,6 +366,12 @@
         buffered.status,
         &buffered.headers,
     );
+    invariant!(
+        !kind.may_prove_not_run() || response_id(traffic, &buffered) == Some(call.id.as_str()),
+        "response {kind:?} to {} names {:?}",
+        call.id,
+        response_id(traffic, &buffered)
+    );
     // A mismatched response may belong to another request. The connection is then out of sync and
     // must not be reused.
     if let Some(connection) =
@@ -388,6 +396,11 @@
             let (completion, response) = refused_response(Reason::UpstreamRefused, outcome);
             (completion, response.with_status(buffered.status))
         }
+        ResponseKind::UnidentifiedRefusal => {
+            let outcome = buffered.proof.refused_by_upstream(RefusalTrust::Untrusted);
+            let (completion, response) = refused_response(Reason::UpstreamRefused, outcome);
+            (completion, response.with_status(buffered.status))
+        }
         ResponseKind::OtherInstance => {
             let outcome = buffered.proof.refused_by_upstream(RefusalTrust::Trusted);
             (Completion::Failed, NodeResponse::failure(Reason::NoUpstream, outcome))
@@ -399,6 +412,10 @@
     }
 }
 
+fn response_id<'a>(traffic: &TrafficContext, buffered: &'a BufferedResponse) -> Option<&'a str> {
+    traffic.shared.adapters.protocol.response_id(&buffered.headers)
+}
+
 fn refused_response(reason: Reason, outcome: Outcome) -> (Completion, NodeResponse) {
     (Completion::Overloaded, NodeResponse::failure(reason, outcome))
 }
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -44,12 +44,17 @@
     }
     let deadline = traffic.shared.clock.instant(call.deadline) + RESPONSE_SLACK;
     let options = ExchangeOptions {
+        id: Some(&call.id),
         max_bytes: traffic.shared.settings.bounds.max_response_bytes,
         allow_unframed: false,
         reuse: Reuse::of(call.class.repeat),
     };
     match exchange(&traffic.pool, route.host.addr, req, deadline, options).await {
         Ok(mut buffered) => {
+            if headers::text(&buffered.headers, &headers::REQUEST_ID) != Some(call.id.as_str()) {
+                // The connection is out of sync, so it is not used again.
+                return NodeResponse::failure(Reason::ForeignAnswer, buffered.proof.fail());
+            }
             if let Some(connection) = buffered.connection.take() {
                 traffic.pool.return_connection(connection);
             }
--- a/crates/node/src/traffic/peer_listener.rs
+++ b/crates/node/src/traffic/peer_listener.rs
@@ -25,16 +25,18 @@
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if !is_trusted(&traffic, req.headers()) {
-        return bad_request(StatusCode::FORBIDDEN).to_peer_response();
+        return bad_request(StatusCode::FORBIDDEN).to_peer_response(None);
     }
+    let id = headers::text(req.headers(), &headers::REQUEST_ID);
+    let id = id.and_then(|text| RequestId::new(text).ok());
     let status = headers::text(req.headers(), &headers::UPSTREAM_STATUS);
     let status = status.and_then(UpstreamStatus::parse);
     match accept(&traffic, req).await {
         Ok((call, granted)) => {
             let response = gate::run(&traffic, &Arc::new(call), granted, status.as_ref()).await;
-            response.to_peer_response()
+            response.to_peer_response(id.as_ref())
         }
-        Err(response) => response.to_peer_response(),
+        Err(response) => response.to_peer_response(id.as_ref()),
     }
 }
 
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use snipehollow_core::class::Repeat;
 use snipehollow_core::collections::FastMap;
+use snipehollow_core::ids::RequestId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -65,8 +66,7 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    allowance: ReadAllowance,
+    connection: Connection,
     idle_since: Instant,
 }
 
@@ -81,6 +81,9 @@
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    /// Id of the last request that was sent on it; `None` before the first, and if that request had
+    /// no id.
+    last_id: Option<RequestId>,
 }
 
 /// Why sending a request failed.
@@ -98,17 +101,25 @@
 
     /// Takes the most recently used connection to the address that is ready, if `reuse` permits
     /// its idle time.
-    pub(crate) fn take(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+    ///
+    /// Passes over connections whose last request had the same id: if the other end writes its
+    /// earlier response again, that copy would be taken for the response to this try.
+    pub(crate) fn take(
+        &self,
+        addr: SocketAddr,
+        reuse: Reuse,
+        id: Option<&RequestId>,
+    ) -> Option<Connection> {
         let max_idle = reuse.max_idle();
         let mut idle = self.lock();
         let list = idle.get_mut(&addr)?;
-        while let Some(entry) = list.pop_if(|entry| entry.idle_since.elapsed() < max_idle) {
-            if entry.sender.is_ready() {
-                let IdleConnection { sender, allowance, .. } = entry;
-                return Some(Connection { addr, sender, allowance });
-            }
-        }
-        None
+        let is_usable = |entry: &IdleConnection| {
+            entry.connection.sender.is_ready()
+                && entry.idle_since.elapsed() < max_idle
+                && (id.is_none() || entry.connection.last_id.as_ref() != id)
+        };
+        let found = list.iter().rposition(is_usable)?;
+        Some(list.remove(found).connection)
     }
 
     /// Opens a connection to the address, and spawns the task that drives it.
@@ -128,7 +139,7 @@
             // The request on the connection receives the error too.
             let _ = driver.await;
         });
-        Ok(Connection { addr, sender, allowance })
+        Ok(Connection { addr, sender, allowance, last_id: None })
     }
 
     /// Returns a connection to the pool after its response was read to the end.
@@ -139,8 +150,7 @@
         let mut idle = self.lock();
         let list = idle.entry(connection.addr).or_default();
         if list.len() < MAX_IDLE_PER_ADDR {
-            let Connection { sender, allowance, .. } = connection;
-            list.push(IdleConnection { sender, allowance, idle_since: Instant::now() });
+            list.push(IdleConnection { connection, idle_since: Instant::now() });
         }
     }
 
@@ -149,7 +159,7 @@
         let mut idle = self.lock();
         for list in idle.values_mut() {
             list.retain(|entry| {
-                !entry.sender.is_closed() && entry.idle_since.elapsed() < MAX_IDLE_TIME
+                !entry.connection.sender.is_closed() && entry.idle_since.elapsed() < MAX_IDLE_TIME
             });
         }
         idle.retain(|_, list| !list.is_empty());
@@ -166,7 +176,9 @@
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
+        id: Option<&RequestId>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.last_id = id.cloned();
         self.allowance.await_head();
         let sent = self.sender.try_send_request(req).await;
         self.allowance.head_arrived();
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -141,10 +141,14 @@
         is_retryable.then_some(Duration::from_millis(after))
     }
 
-    /// Builds the HTTP response to another node, with the reports of the gate as headers.
-    pub(crate) fn to_peer_response(&self) -> Response<Full<Bytes>> {
+    /// Builds the HTTP response to another node, with the reports of the gate as headers. `id` is
+    /// that of the request, if it carried a readable one.
+    pub(crate) fn to_peer_response(&self, id: Option<&RequestId>) -> Response<Full<Bytes>> {
         let mut response = self.base_response();
         let map = response.headers_mut();
+        if let Some(id) = id {
+            headers::set(map, headers::REQUEST_ID, id);
+        }
         headers::set(map, headers::ALLOWANCE, self.unspent.0);
         if let Some(load_level) = &self.load_level {
             headers::set(map, headers::LOAD, load_level);
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -95,8 +95,12 @@
     *req.uri_mut() = path.parse().ok()?;
     req.headers_mut().insert(HOST, HeaderValue::from_str(&addr.to_string()).ok()?);
     let deadline = std::time::Instant::now() + PROBE_TIMEOUT;
-    let options =
-        ExchangeOptions { max_bytes: MAX_RESPONSE_BYTES, allow_unframed: false, reuse: Reuse::Any };
+    let options = ExchangeOptions {
+        id: None,
+        max_bytes: MAX_RESPONSE_BYTES,
+        allow_unframed: false,
+        reuse: Reuse::Any,
+    };
     let Ok(mut buffered) = exchange(&traffic.pool, addr, req, deadline, options).await else {
         log::info!(addr = addr.to_string(); "upstream did not respond to a health check");
         return None;
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -304,7 +304,17 @@
         }
     }
 
+    /// Serves a call; the response names the request by its id.
     async fn handle_call(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let id = req.headers().get(headers::REQUEST_ID).cloned();
+        let mut response = self.serve_call(req).await;
+        if let Some(id) = id {
+            response.headers_mut().insert(headers::REQUEST_ID, id);
+        }
+        response
+    }
+
+    async fn serve_call(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = req.into_parts();
         let Ok(body) = body.collect().await else {
             return text(StatusCode::BAD_REQUEST, "cut\n");
