Wait at a stop until responses have been written

A planned stop cut off responses that callers still read: a request counted as ended when its response was built, not when it had been written. In the new test a caller reads a response of 6 MiB slowly; the old code ended 1.5 s after SIGTERM and cut it off after 3,283,992 bytes.

A request now stays in progress until the buffer with its body is dropped, which hyper does once it is written, as the stream takes several buffers in one write; before, hyper copied bodies into its own buffer. The same holds for tries of other nodes.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -103,7 +103,7 @@
         revision: control.config().revision(),
         draining: shared.is_draining(),
         store_reachable: control.store_reachable,
-        entering: shared.caller_requests(),
+        entering: shared.caller_requests.get(),
         gate: host.gate_state(),
         members,
         routes: host.routes(now),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -126,5 +126,6 @@
 }
 
 fn in_progress(shared: &Shared) -> usize {
-    shared.caller_requests() as usize + shared.host().in_progress()
+    let at_listeners = shared.caller_requests.get() + shared.peer_tries.get();
+    at_listeners as usize + shared.host().in_progress()
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that the threads of a node share.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
@@ -16,6 +16,7 @@
 use crate::host::HostState;
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
+use crate::traffic::InProgress;
 
 /// State that the threads of a node share.
 ///
@@ -38,8 +39,10 @@
     refusing_callers: AtomicBool,
     /// Whether all threads must end now.
     stopping: AtomicBool,
-    /// Number of requests in progress at the caller listener.
-    caller_requests: AtomicU32,
+    /// Requests in progress at the caller listener.
+    pub(crate) caller_requests: InProgress,
+    /// Tries in progress at the peer listener.
+    pub(crate) peer_tries: InProgress,
     /// Whether a new revision is in force that no member has been notified of.
     pub(crate) notification_pending: AtomicBool,
     /// Whether a pull of the configuration from another node is running.
@@ -69,7 +72,8 @@
             draining: AtomicBool::new(false),
             refusing_callers: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            caller_requests: AtomicU32::new(0),
+            caller_requests: InProgress::default(),
+            peer_tries: InProgress::default(),
             notification_pending: AtomicBool::new(false),
             config_pull_running: AtomicBool::new(false),
             stop_notify: tokio::sync::Notify::new(),
@@ -140,28 +144,6 @@
         self.stopping.store(true, Ordering::Release);
         self.stop_notify.notify_waiters();
     }
-
-    /// Counts a request at the caller listener as in progress until the guard is dropped.
-    pub(crate) fn track_caller_request(self: &Arc<Self>) -> CallerRequestGuard {
-        self.caller_requests.fetch_add(1, Ordering::AcqRel);
-        CallerRequestGuard { shared: Arc::clone(self) }
-    }
-
-    /// Returns the number of requests in progress at the caller listener.
-    pub(crate) fn caller_requests(&self) -> u32 {
-        self.caller_requests.load(Ordering::Acquire)
-    }
-}
-
-/// Counts one request as in progress until it is dropped.
-pub(crate) struct CallerRequestGuard {
-    shared: Arc<Shared>,
-}
-
-impl Drop for CallerRequestGuard {
-    fn drop(&mut self) {
-        self.shared.caller_requests.fetch_sub(1, Ordering::AcqRel);
-    }
 }
 
 fn new_host_state(settings: &NodeSettings) -> Result<HostState, NodeError> {
--- a/crates/node/src/traffic/caller_listener.rs
+++ b/crates/node/src/traffic/caller_listener.rs
@@ -20,7 +20,7 @@
 use snipehollow_wire::headers;
 
 use super::request::{bad_request, read_body_within, split_path};
-use super::{Call, NodeResponse, TrafficContext, entry};
+use super::{Call, InProgressGuard, NodeResponse, TrafficContext, entry};
 use crate::host::ParentCall;
 use crate::logging::decisions;
 
@@ -30,7 +30,7 @@
     from: IpAddr,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let _request_guard = traffic.shared.track_caller_request();
+    let in_progress = traffic.shared.caller_requests.start();
     let received = traffic.shared.clock.now();
     let mut id = None;
     let (call, response) = match accept(&traffic, from, received, req, &mut id).await {
@@ -49,7 +49,7 @@
             (None, *response)
         }
     };
-    build_response(&traffic, received, call.as_deref(), &response)
+    build_response(&traffic, received, call.as_deref(), &response, in_progress)
 }
 
 /// Logs a request whose caller disconnected: its task is dropped before there is a response.
@@ -374,6 +374,7 @@
     received: Timestamp,
     call: Option<&Call>,
     response: &NodeResponse,
+    in_progress: InProgressGuard,
 ) -> Response<Full<Bytes>> {
     let shared = &traffic.shared;
     let revision = shared.snapshot.load().config.revision;
@@ -386,8 +387,9 @@
         shared.metrics.record_latency(&call.class.name, latency_secs);
     }
     let protocol = &*shared.adapters.protocol;
+    let id = call.map(|call| &call.id);
     let mut http_response =
-        response.to_caller_response(protocol, call.map(|call| &call.id), revision, jitter);
+        response.to_caller_response(protocol, id, revision, jitter, in_progress);
     if shared.is_draining() {
         http_response
             .headers_mut()
--- a/crates/node/src/traffic/error_suppressing_io.rs
+++ b/crates/node/src/traffic/error_suppressing_io.rs
@@ -105,6 +105,23 @@
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if bufs.first().is_some_and(|buf| self.is_hyper_error_response(buf)) {
+            return Poll::Ready(Ok(bufs.iter().map(|buf| buf.len()).sum()));
+        }
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    /// Returns true, so that hyper does not copy bodies: they are dropped once they are written,
+    /// which ends their requests.
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod error_suppressing_io;
 mod exchange;
 mod gate;
+mod in_progress;
 mod peer_client;
 mod peer_listener;
 mod pool;
@@ -25,6 +26,7 @@
 mod upstream_probe;
 
 pub(crate) use call::Call;
+pub(crate) use in_progress::{InProgress, InProgressGuard};
 pub(crate) use peer_listener::secrets_match;
 pub(crate) use response::NodeResponse;
 pub(crate) use threads::TrafficThreads;
--- a/crates/node/src/traffic/peer_listener.rs
+++ b/crates/node/src/traffic/peer_listener.rs
@@ -24,8 +24,9 @@
     traffic: TrafficContext,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let in_progress = traffic.shared.peer_tries.start();
     if !is_trusted(&traffic, req.headers()) {
-        return bad_request(StatusCode::FORBIDDEN).to_peer_response(None);
+        return bad_request(StatusCode::FORBIDDEN).to_peer_response(None, in_progress);
     }
     let id = headers::text(req.headers(), &headers::REQUEST_ID);
     let id = id.and_then(|text| RequestId::new(text).ok());
@@ -34,9 +35,9 @@
     match accept(&traffic, req).await {
         Ok((call, granted)) => {
             let response = gate::run(&traffic, &Arc::new(call), granted, status.as_ref()).await;
-            response.to_peer_response(id.as_ref())
+            response.to_peer_response(id.as_ref(), in_progress)
         }
-        Err(response) => response.to_peer_response(id.as_ref()),
+        Err(response) => response.to_peer_response(id.as_ref(), in_progress),
     }
 }
 
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -13,6 +13,7 @@
 use snipehollow_core::retry::Allowance;
 use snipehollow_wire::headers;
 
+use super::InProgressGuard;
 use crate::adapters::{FailureResponse, Protocol};
 
 /// Memory accounted for a stored response in addition to its body.
@@ -113,8 +114,9 @@
         id: Option<&RequestId>,
         revision: u64,
         jitter: u64,
+        in_progress: InProgressGuard,
     ) -> Response<Full<Bytes>> {
-        let mut response = self.base_response();
+        let mut response = self.base_response(in_progress);
         headers::set(response.headers_mut(), headers::REVISION, revision);
         if self.is_from_upstream() {
             if let Some(id) = id {
@@ -143,8 +145,12 @@
 
     /// Builds the HTTP response to another node, with the reports of the gate as headers. `id` is
     /// that of the request, if it carried a readable one.
-    pub(crate) fn to_peer_response(&self, id: Option<&RequestId>) -> Response<Full<Bytes>> {
-        let mut response = self.base_response();
+    pub(crate) fn to_peer_response(
+        &self,
+        id: Option<&RequestId>,
+        in_progress: InProgressGuard,
+    ) -> Response<Full<Bytes>> {
+        let mut response = self.base_response(in_progress);
         let map = response.headers_mut();
         if let Some(id) = id {
             headers::set(map, headers::REQUEST_ID, id);
@@ -166,9 +172,9 @@
         response
     }
 
-    fn base_response(&self) -> Response<Full<Bytes>> {
+    fn base_response(&self, in_progress: InProgressGuard) -> Response<Full<Bytes>> {
         let body = if self.is_from_upstream() { self.body.clone() } else { self.failure_body() };
-        let mut response = Response::new(Full::new(body));
+        let mut response = Response::new(Full::new(in_progress.until_written(body)));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers.clone();
         let map = response.headers_mut();
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -1,5 +1,7 @@
 //! Planned stops and drains, which must not interrupt requests in progress.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
@@ -7,12 +9,20 @@
 use rustix::process::Signal;
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
-use snipehollow_standins::mesh::PEER_SECRET;
+use snipehollow_standins::mesh::{Mesh, MeshPlan, PEER_SECRET, ServicePlan};
 use snipehollow_standins::upstream::Behaviour;
 use snipehollow_wire::headers;
+use socket2::{Domain, Socket, Type};
 
 use crate::support::{Caller, LIMIT, mixed_load, small_mesh};
 
+/// Sheet of a mesh that runs the service `pricing` only.
+const SHEET_OF_PRICING: &str = "\
+kind,name,rank,deadline_ms,repeat,service,method,path,class\n\
+class,read,1,8000,may-repeat,,,,\n\
+service,pricing,,,,,,,\n\
+rule,,,,,pricing,*,/,read\n";
+
 /// Guards against requests that are cut off, or sent to a node that is shutting down, when a node
 /// is stopped under load.
 #[test]
@@ -36,6 +46,37 @@
     }
 }
 
+/// Guards against a response that is cut off because the node ends while its caller still reads it.
+#[test]
+fn slowly_read_response_is_whole_after_sigterm() {
+    let mut service = ServicePlan::new("pricing", 1, 4, 1);
+    service.response_bytes = 6 << 20;
+    let plan = MeshPlan::new(&[("zone-a", "region-a")], vec![service]);
+    let mut mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
+    assert!(mesh.apply_sheet(SHEET_OF_PRICING).unwrap().status.success());
+    mesh.wait_ready(1).unwrap();
+    let to = mesh.plan.hosts[0].caller_addr();
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // A small buffer leaves most of the response at the node.
+    socket.set_recv_buffer_size(8_192).unwrap();
+    socket.connect(&to.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    stream
+        .write_all(b"GET /pricing/quote HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let mut start = [0; 1_000];
+    stream.read_exact(&mut start).unwrap();
+    assert!(start.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&start));
+    mesh.node(0).unwrap().signal(Signal::TERM);
+    // Longer than the node serves callers after the signal.
+    thread::sleep(Duration::from_secs(3));
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).unwrap();
+    assert!(start.len() + rest.len() > 6 << 20, "cut off after {} bytes", rest.len());
+    assert_eq!(mesh.node(0).unwrap().wait(LIMIT).unwrap().code(), Some(0));
+}
+
 /// Guards against requests that are still sent to an upstream after it announced that it is
 /// leaving.
 #[test]
