--- a/crates/config/src/settings/bounds.rs
+++ b/crates/config/src/settings/bounds.rs
@@ -13,6 +13,9 @@
     pub max_body_bytes: usize,
     /// Maximum size of a response's body, in bytes.
     pub max_response_bytes: usize,
+    /// Maximum size of all request and response bodies that the process holds, in bytes. Further
+    /// requests with a body are refused.
+    pub max_held_bytes: usize,
     /// Maximum number of open connections of one listener.
     pub max_connections: usize,
     /// Time limit for receiving a request's head; an idle connection is closed after the same
@@ -30,6 +33,7 @@
             max_headers: 64,
             max_body_bytes: 1 << 20,
             max_response_bytes: 8 << 20,
+            max_held_bytes: 64 << 20,
             max_connections: 1_024,
             head_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(10),
--- a/crates/config/src/settings/node.rs
+++ b/crates/config/src/settings/node.rs
@@ -36,6 +36,7 @@
             "headers",
             "body_bytes",
             "answer_bytes",
+            "held_bytes",
             "connections",
             "head_timeout_ms",
             "body_timeout_ms",
@@ -272,6 +273,7 @@
     let max_body_bytes = size("body_bytes", 0..=1_073_741_824, default.max_body_bytes);
     let max_response_bytes =
         size("answer_bytes", 1_024..=1_073_741_824, default.max_response_bytes);
+    let max_held_bytes = size("held_bytes", 65_536..=68_719_476_736, default.max_held_bytes);
     let max_connections = size("connections", 1..=65_536, default.max_connections);
     let head_timeout =
         size("head_timeout_ms", 10..=600_000, default.head_timeout.as_millis() as usize);
@@ -282,6 +284,7 @@
         max_headers,
         max_body_bytes,
         max_response_bytes,
+        max_held_bytes,
         max_connections,
         head_timeout: Duration::from_millis(head_timeout as u64),
         body_timeout: Duration::from_millis(body_timeout as u64),
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -97,6 +97,8 @@
     AllowanceSpent => "allowance-spent",
     /// The service's gate has no retry budget left.
     BudgetSpent => "budget-spent",
+    /// The node holds as many bytes of request and response bodies as its settings allow.
+    MemoryLimit => "memory-limit",
     /// The byte budget of the link between regions is spent.
     LinkBudgetSpent => "link-budget-spent",
     /// The request is malformed or exceeds a size limit.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,8 @@
     /// Number of times that the store was restored from an older copy.
     pub(crate) store_era: Gauge,
     pub(crate) live_members: Gauge,
+    /// Bytes of request and response bodies that the process holds.
+    pub(crate) held_bytes: Gauge,
     process_cpu: FloatGauge,
     control_cpu: FloatGauge,
     resident_memory: Gauge,
@@ -88,6 +90,7 @@
             revision: Gauge::default(),
             store_era: Gauge::default(),
             live_members: Gauge::default(),
+            held_bytes: Gauge::default(),
             process_cpu: FloatGauge::default(),
             control_cpu: FloatGauge::default(),
             resident_memory: Gauge::default(),
@@ -118,6 +121,8 @@
         let help = "Times that the key-value service was restored from an older copy";
         r.register("store_era", help, self.store_era.clone());
         r.register("live_members", "Live members of the zone", self.live_members.clone());
+        let help = "Request and response bodies in memory";
+        r.register_with_unit("held", help, Unit::Bytes, self.held_bytes.clone());
         let help = "CPU time of the process";
         r.register_with_unit("process_cpu", help, Unit::Seconds, self.process_cpu.clone());
         let help = "CPU time of the control thread";
--- a/crates/node/src/traffic/caller_listener.rs
+++ b/crates/node/src/traffic/caller_listener.rs
@@ -19,7 +19,7 @@
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::headers;
 
-use super::request::{bad_request, read_body_within, split_path};
+use super::request::{BodyLimits, bad_request, max_body_bytes, read_body, split_path};
 use super::{Call, InProgressGuard, NodeResponse, TrafficContext, entry};
 use crate::host::ParentCall;
 use crate::logging::decisions;
@@ -84,9 +84,12 @@
     let shared = &traffic.shared;
     let config = Arc::clone(&shared.snapshot.load().config);
     let bounds = &shared.settings.bounds;
-    let max_body_bytes = config.global.caller_limits.as_ref().map(|limits| limits.max_body_bytes);
-    let max_body_bytes = max_body_bytes.unwrap_or(bounds.max_body_bytes);
-    let (mut parts, body) = read_body_within(req, max_body_bytes, bounds.body_timeout).await?;
+    let limits = BodyLimits {
+        max_bytes: max_body_bytes(traffic),
+        time_limit: bounds.body_timeout,
+        held: &traffic.held,
+    };
+    let (mut parts, body) = read_body(req, limits).await?;
     let head = shared.adapters.protocol.read_request(&parts).map_err(|cause| {
         log::info!("invalid request head: {cause}");
         bad_request(StatusCode::BAD_REQUEST)
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -305,6 +305,7 @@
         | Reason::Leaving
         | Reason::NoUpstream
         | Reason::SuspectBusy
+        | Reason::MemoryLimit
         | Reason::Unreachable
         | Reason::UpstreamRefused
         | Reason::AnswerCut
@@ -361,9 +362,9 @@
     call: &'a Call,
     route: &'a Route,
     started: Timestamp,
-    finished: bool,
     /// Charge for the link between regions; `None` if the try does not use it.
     link_charge: Option<LinkCharge>,
+    finished: bool,
 }
 
 impl RouteGuard<'_> {
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -3,15 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use snipehollow_core::ids::RequestId;
 use snipehollow_core::outcome::{Dispatched, Undispatched};
 use tokio::time::timeout_at;
 
+use super::held_bytes::{BodyKind, HeldBytes};
 use super::pool::{Connection, Pool, Reuse, SendError};
 
 /// What a piece of a body, such as a chunk, counts in addition to its length.
@@ -35,7 +36,7 @@
     Incomplete(Dispatched),
     /// The response was not complete by the deadline.
     TimedOut(Dispatched),
-    /// The response body is larger than [`ExchangeOptions::max_bytes`].
+    /// The response body is larger than [`ExchangeOptions::max_bytes`], or there is no memory for it.
     TooLarge(Dispatched),
 }
 
@@ -53,6 +54,8 @@
 pub(crate) struct ExchangeOptions<'a> {
     /// Id of the request, the same for all its tries; `None` for a request without one.
     pub(crate) id: Option<&'a RequestId>,
+    /// Memory for all bodies that the process holds.
+    pub(crate) held: &'a HeldBytes,
     /// Maximum size of the response body, in bytes.
     pub(crate) max_bytes: usize,
     /// Whether a response without length or chunked encoding counts as complete when the
@@ -128,14 +131,14 @@
         // A response that ends with the connection cannot be distinguished from a truncated one.
         return Err(ReadError::Incomplete);
     }
-    let body = read_body(body, options.max_bytes).await?;
+    let body = read_body(body, options).await?;
     Ok((parts.status, parts.headers, body))
 }
 
 /// Reads a body into one buffer. Each piece counts as [`PIECE_OVERHEAD_BYTES`] more than its
 /// length, so that a body in many small pieces cannot take unbounded time.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
-    let mut buf = BytesMut::new();
+async fn read_body(mut body: Incoming, options: ExchangeOptions<'_>) -> Result<Bytes, ReadError> {
+    let mut held = options.held.body();
     let mut counted = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() else {
@@ -143,16 +146,13 @@
             continue;
         };
         counted += data.len();
-        if counted > max_bytes {
+        if counted > options.max_bytes {
             return Err(ReadError::TooLarge);
         }
         counted += PIECE_OVERHEAD_BYTES;
-        if buf.is_empty() && body.is_end_stream() {
-            return Ok(data);
-        }
-        buf.extend_from_slice(&data);
+        held.push(BodyKind::Response, data).map_err(|_| ReadError::TooLarge)?;
     }
-    Ok(buf.freeze())
+    Ok(held.finish())
 }
 
 fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -290,6 +290,7 @@
     let deadline = traffic.shared.clock.instant(call.deadline) + grace;
     let options = ExchangeOptions {
         id: Some(&call.id),
+        held: &traffic.held,
         max_bytes: traffic.shared.settings.bounds.max_response_bytes,
         allow_unframed: traffic.shared.adapters.protocol.allows_close_delimited_responses(),
         reuse: Reuse::of(call.class.repeat),
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod error_suppressing_io;
 mod exchange;
 mod gate;
+mod held_bytes;
 mod in_progress;
 mod peer_client;
 mod peer_listener;
@@ -40,4 +41,5 @@
 pub(crate) struct TrafficContext {
     pub(crate) shared: Arc<Shared>,
     pub(crate) pool: Arc<pool::Pool>,
+    pub(crate) held: held_bytes::HeldBytes,
 }
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -45,6 +45,7 @@
     let deadline = traffic.shared.clock.instant(call.deadline) + RESPONSE_SLACK;
     let options = ExchangeOptions {
         id: Some(&call.id),
+        held: &traffic.held,
         max_bytes: traffic.shared.settings.bounds.max_response_bytes,
         allow_unframed: false,
         reuse: Reuse::of(call.class.repeat),
--- a/crates/node/src/traffic/peer_listener.rs
+++ b/crates/node/src/traffic/peer_listener.rs
@@ -16,7 +16,7 @@
 use snipehollow_core::ticket::Ticket;
 use snipehollow_wire::headers;
 
-use super::request::{bad_request, read_body, split_path};
+use super::request::{BodyLimits, bad_request, max_body_bytes, read_body, split_path};
 use super::{Call, NodeResponse, TrafficContext, gate};
 
 /// Serves one try sent by another node.
@@ -60,7 +60,13 @@
     req: Request<Incoming>,
 ) -> Result<(Call, Allowance), Box<NodeResponse>> {
     let received = traffic.shared.clock.now();
-    let (parts, body) = read_body(req, &traffic.shared.settings.bounds).await?;
+    let bounds = &traffic.shared.settings.bounds;
+    let limits = BodyLimits {
+        max_bytes: max_body_bytes(traffic),
+        time_limit: bounds.body_timeout,
+        held: &traffic.held,
+    };
+    let (parts, body) = read_body(req, limits).await?;
     read_call(traffic, parts, body, received).ok_or_else(|| bad_request(StatusCode::BAD_REQUEST))
 }
 
--- a/crates/node/src/traffic/response.rs
+++ b/crates/node/src/traffic/response.rs
@@ -212,6 +212,7 @@
         | Reason::SuspectBusy
         | Reason::Unreachable
         | Reason::LinkBudgetSpent
+        | Reason::MemoryLimit
         | Reason::NoConfig
         | Reason::ParentEnded
         | Reason::UpstreamRefused => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpListener;
 
 use super::TrafficContext;
+use super::held_bytes::HeldBytes;
 use super::pool::Pool;
 use super::server::{ListenerKind, serve_listener};
 use super::upstream_probe::discover_upstream;
@@ -46,7 +47,11 @@
     let upstream = listen("upstream", settings.upstream_listener).await?;
     let ready = listen_optional("ready", settings.ready).await?;
     let metrics = listen_optional("metrics", settings.metrics).await?;
-    let traffic = TrafficContext { shared: Arc::clone(&shared), pool: Arc::new(Pool::new()) };
+    let traffic = TrafficContext {
+        shared: Arc::clone(&shared),
+        pool: Arc::new(Pool::new()),
+        held: HeldBytes::new(settings.bounds.max_held_bytes),
+    };
     tokio::spawn(serve_listener(traffic.clone(), ListenerKind::Caller, caller));
     tokio::spawn(serve_listener(traffic.clone(), ListenerKind::Peer, peer));
     tokio::spawn(serve_listener(traffic.clone(), ListenerKind::Upstream, upstream));
@@ -60,7 +65,10 @@
     let mut interval = tokio::time::interval(IDLE_SWEEP_INTERVAL);
     while !shared.is_stopping() {
         tokio::select! {
-            _ = interval.tick() => traffic.pool.close_expired(),
+            _ = interval.tick() => {
+                traffic.pool.close_expired();
+                shared.metrics.held_bytes.set(traffic.held.get() as i64);
+            }
             () = shared.stop_notify.notified() => {}
         }
     }
--- a/crates/node/src/traffic/upstream_listener.rs
+++ b/crates/node/src/traffic/upstream_listener.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::TrafficContext;
-use super::request::read_body_within;
+use super::request::{BodyLimits, read_body};
 use crate::adapters::{NoticeError, UpstreamNotice};
 use crate::shared::Shared;
 
@@ -24,7 +24,9 @@
 ) -> Response<Full<Bytes>> {
     let shared = &traffic.shared;
     let timeout = shared.settings.bounds.body_timeout;
-    let (parts, body) = match read_body_within(req, MAX_NOTICE_BYTES, timeout).await {
+    let limits =
+        BodyLimits { max_bytes: MAX_NOTICE_BYTES, time_limit: timeout, held: &traffic.held };
+    let (parts, body) = match read_body(req, limits).await {
         Ok(read) => read,
         Err(_) => {
             return plain(StatusCode::BAD_REQUEST, "announcement is too long or incomplete\n");
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -97,6 +97,7 @@
     let deadline = std::time::Instant::now() + PROBE_TIMEOUT;
     let options = ExchangeOptions {
         id: None,
+        held: &traffic.held,
         max_bytes: MAX_RESPONSE_BYTES,
         allow_unframed: false,
         reuse: Reuse::Any,
