Read entries of other writers one by one, and believe no number that is too large

Operators of similar systems report that one odd entry (deeply nested, a number too large, a port out of range) ended the processes that read the list again and again, or stopped them from following it. Both could happen here; on the code before, the new tests showed:

- gossip with an incarnation of 2^64-1 about a node ended it with an overflow (release builds: the node could never be taken for alive again), implausible_incarnation_is_ignored;
- one unreadable entry made a node ignore a whole message of another one, which it then takes for dead, odd_entry_of_a_list_hides_no_other;
- one unreadable item or byte in the store hid all seeds, and the configuration beside it, odd_item_of_a_list_hides_no_other, odd_item_beside_the_configuration_ends_no_following, bytes_that_are_no_text_spoil_one_item_only;
- one unreadable entry of the configuration made the whole document unreadable;

Lists in messages, items of the store and entries of the configuration are now read one by one; what cannot be read is left out, counted (snipehollow_unreadable_entries) and described in a bounded number of log lines. A request that no route matches while an entry is unreadable gets not-run and 503 instead of 404, because it may belong to that entry.

--- a/crates/config/src/model/section.rs
+++ b/crates/config/src/model/section.rs
@@ -10,6 +10,10 @@
 
 use super::stop::PlannedStop;
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 key_type! {
     /// Digest of a section's stored form: the first 16 bytes of its BLAKE3 hash.
     pub struct SectionDigest(u128);
@@ -38,6 +42,10 @@
         /// Limits for callers; `None` if only the node's settings apply.
         #[serde(default)]
         pub caller_limits: Option<CallerLimits>,
+        /// Number of entries of the operators' configuration that could not be read. While it is
+        /// not 0, a request that no route matches may belong to one of them.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub unreadable_entries: u32,
     }
 
     /// Limits on the size and duration of requests from callers.
--- a/crates/config/src/sheet/parse.rs
+++ b/crates/config/src/sheet/parse.rs
@@ -58,7 +58,7 @@
             classes: values(&self.classes),
             links: values(&self.links),
             stops: values(&self.stops),
-            caller_limits: None,
+            ..GlobalSection::default()
         };
         let mut sections = vec![Section::Global(global)];
         sections.extend(self.services.iter().map(|service| self.service_section(&service.value)));
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -158,6 +158,23 @@
     }
 }
 
+impl Incarnation {
+    /// Exclusive upper limit of the incarnations that nodes believe. Nodes start with the time in
+    /// milliseconds, so that a higher one is an error, and accepting it would leave the member no
+    /// higher one to refute it with.
+    const LIMIT: u64 = 1 << 62;
+
+    /// Returns whether a node may have reached this incarnation.
+    pub fn is_plausible(self) -> bool {
+        self.0 < Incarnation::LIMIT
+    }
+
+    /// Returns the incarnation that follows this one.
+    pub fn next(self) -> Incarnation {
+        Incarnation(self.0.saturating_add(1))
+    }
+}
+
 impl fmt::Display for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod collections;
 pub mod ewma;
 pub mod ids;
+pub mod lenient;
 pub mod membership;
 pub mod outcome;
 pub mod quarantine;
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -75,6 +75,7 @@
     /// Query for the hosts of services in the zone of the responding node.
     pub struct DirectoryQuery {
         /// Services whose hosts are requested.
+        #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub services: Vec<ServiceDigest>,
     }
 
@@ -83,11 +84,13 @@
         /// Zone of the responding node.
         pub zone: ZoneName,
         /// Services whose digests differ, each with all its hosts in the zone.
+        #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub changed: Vec<ServiceHosts>,
         /// Control addresses of members of the zone that later pulls may use.
+        #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub contacts: Vec<SocketAddr>,
         /// Suspected and quarantined requests that the responding node knows of.
-        #[serde(default)]
+        #[serde(default, deserialize_with = "crate::lenient::readable_entries")]
         pub quarantine: Vec<QuarantineEntry>,
     }
 
@@ -96,6 +99,7 @@
         /// Service that the hosts run.
         pub service: ServiceName,
         /// Hosts that accept requests, sorted by name.
+        #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub hosts: Vec<Candidate>,
     }
 }
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -28,6 +28,7 @@
         /// Host that sends the message.
         pub from: HostName,
         /// Recent changes that the sender knows of.
+        #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub items: Vec<GossipItem>,
         /// Digest of the live members that the sender knows; differs if the views differ.
         pub digest: u64,
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -390,6 +390,9 @@
 
     /// Applies an update from another node if it is newer than the known state.
     fn merge(&mut self, now: Timestamp, gossiped: &GossipedMember, source: Source) {
+        if !gossiped.incarnation.is_plausible() {
+            return;
+        }
         let known = self.members.get(&gossiped.host);
         // An update without metadata about an unknown host is ignored: that host is not alive.
         let Some(update) = gossiped.to_update(known.map(|member| &member.update.info)) else {
@@ -436,7 +439,7 @@
         state: MemberState,
         info: HostInfo,
     ) {
-        let incarnation = Incarnation(above.0 + 1);
+        let incarnation = above.next();
         let update = MemberUpdate { host: self.host.clone(), incarnation, state, info };
         self.apply_and_gossip(now, update);
     }
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -14,7 +14,7 @@
     /// Response to a synchronization request, with the members of buckets that differ.
     pub struct SyncResponse {
         /// States of these members, as known to the responding node.
-        #[serde(rename = "news")]
+        #[serde(rename = "news", deserialize_with = "crate::lenient::readable_entries")]
         pub members: Vec<GossipedMember>,
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -178,7 +178,7 @@
             return None;
         }
         entry.crashes = 0;
-        entry.clears += 1;
+        entry.clears = entry.clears.saturating_add(1);
         Some(entry.to_message(fingerprint, now))
     }
 
@@ -238,7 +238,7 @@
     pub fn lift(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<QuarantineEntry> {
         let entry = self.entries.get_mut(&fingerprint)?;
         entry.crashes = 0;
-        entry.lifts += 1;
+        entry.lifts = entry.lifts.saturating_add(1);
         entry.expires = now + self.retention;
         Some(entry.to_message(fingerprint, now))
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use snipehollow_core::ids::{Fingerprint, TryId};
-use snipehollow_core::quarantine::{Quarantine, QuarantineDecision};
+use snipehollow_core::quarantine::{Quarantine, QuarantineDecision, QuarantineEntry};
 use snipehollow_core::time::Timestamp;
 
 const POPULAR: Fingerprint = Fingerprint(1);
@@ -60,3 +60,25 @@
     b.upstream_died(NOW);
     assert_eq!(b.check(NOW, POPULAR), QuarantineDecision::Allow);
 }
+
+/// Guards against a node that ends with an overflow because another one sent counts at their limit.
+#[test]
+fn counts_at_their_limit_overflow_nowhere() {
+    let now = Timestamp::from_millis(1);
+    let mut quarantine = Quarantine::new(Duration::from_secs(600));
+    let fingerprint = Fingerprint(7);
+    let entry = QuarantineEntry {
+        fingerprint,
+        crashes: u8::MAX,
+        clears: u32::MAX,
+        lifts: u32::MAX,
+        expires_in_ms: u64::MAX,
+    };
+    quarantine.merge(now, &entry);
+    quarantine.start(TryId(1), fingerprint);
+    quarantine.finish(now, TryId(1), true);
+    quarantine.start(TryId(2), fingerprint);
+    quarantine.upstream_died(now);
+    quarantine.lift(now, fingerprint);
+    assert_eq!(quarantine.check(now, fingerprint), QuarantineDecision::Allow);
+}
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -7,6 +7,7 @@
 
 use snipehollow_config::model::{ConfigDelta, DeltaError};
 use snipehollow_core::ids::ZoneName;
+use snipehollow_core::lenient;
 use snipehollow_core::membership::{
     DirectoryAction, DirectoryQuery, DirectoryResponse, GossipItem, GossipMessage, MemberAction,
     ProbeId, SyncResponse,
@@ -146,6 +147,10 @@
     let mut control = shared.control();
     shared.metrics.live_members.set(control.membership.live_count() as i64);
     shared.metrics.revision.set(control.config().revision() as i64);
+    let unreadable = lenient::unreadable_entries();
+    if shared.metrics.record_unreadable_entries(unreadable) {
+        log::warn!(total = unreadable; "entries in messages that cannot be read were left out");
+    }
     if let Some(snapshot) = control.build_snapshot() {
         log::info!(
             members = control.membership.live_count(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -63,6 +63,8 @@
     pub(crate) live_members: Gauge,
     /// Bytes of request and response bodies that the process holds.
     pub(crate) held_bytes: Gauge,
+    /// Entries of lists in messages of other nodes that could not be read.
+    unreadable_entries: Gauge,
     process_cpu: FloatGauge,
     control_cpu: FloatGauge,
     resident_memory: Gauge,
@@ -91,6 +93,7 @@
             store_era: Gauge::default(),
             live_members: Gauge::default(),
             held_bytes: Gauge::default(),
+            unreadable_entries: Gauge::default(),
             process_cpu: FloatGauge::default(),
             control_cpu: FloatGauge::default(),
             resident_memory: Gauge::default(),
@@ -123,6 +126,8 @@
         r.register("live_members", "Live members of the zone", self.live_members.clone());
         let help = "Request and response bodies in memory";
         r.register_with_unit("held", help, Unit::Bytes, self.held_bytes.clone());
+        let help = "Unreadable entries in messages of other nodes since the start";
+        r.register("unreadable_entries", help, self.unreadable_entries.clone());
         let help = "CPU time of the process";
         r.register_with_unit("process_cpu", help, Unit::Seconds, self.process_cpu.clone());
         let help = "CPU time of the control thread";
@@ -153,6 +158,11 @@
         self.added_latency.observe(seconds);
     }
 
+    /// Records the number of unreadable entries since the start; returns whether it has risen.
+    pub(crate) fn record_unreadable_entries(&self, total: u64) -> bool {
+        self.unreadable_entries.set(total as i64) < total as i64
+    }
+
     pub(crate) fn record_retry(&self, class: &ClassName) {
         let labels = ClassLabels { class: class.as_str().into() };
         self.retries.get_or_create(&labels).inc();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -105,9 +105,14 @@
         self.configured_service.store(Arc::new(service));
     }
 
+    /// Returns the service that the settings name for the local upstream.
+    pub(crate) fn configured_service(&self) -> Option<ServiceName> {
+        Option::clone(&self.configured_service.load())
+    }
+
     /// Returns the service on this host: the announced one, or else the one from the settings.
     pub(crate) fn local_service(&self) -> Option<ServiceName> {
-        self.host().service().or_else(|| Option::clone(&self.configured_service.load()))
+        self.host().service().or_else(|| self.configured_service())
     }
 
     /// Returns whether callers' requests are refused because the process will end soon.
--- a/crates/node/src/traffic/caller_listener.rs
+++ b/crates/node/src/traffic/caller_listener.rs
@@ -182,7 +182,7 @@
     let Some((service, path)) = split_path(&parts.uri) else {
         return Err(match config.routes().is_empty() {
             true => bad_request(StatusCode::BAD_REQUEST),
-            false => Box::new(NodeResponse::refusal(Reason::NoClass)),
+            false => Box::new(NodeResponse::refusal(no_class_reason(config))),
         });
     };
     let class = find_class(config, &service, parts, &path, parent)?;
@@ -220,7 +220,7 @@
 ) -> Result<Arc<ClassPolicy>, Box<NodeResponse>> {
     let class = config
         .classify(service, parts.method.as_str(), path)
-        .ok_or_else(|| Box::new(NodeResponse::refusal(Reason::NoClass)))?;
+        .ok_or_else(|| Box::new(NodeResponse::refusal(no_class_reason(config))))?;
     Ok(match parent {
         None => Arc::clone(class),
         Some(parent) => {
@@ -232,6 +232,12 @@
     })
 }
 
+/// Returns the reason to refuse a request that matches no class.
+fn no_class_reason(config: &Config) -> Reason {
+    // The class may be in an entry of the configuration that cannot be read.
+    if config.global.unreadable_entries > 0 { Reason::NoConfig } else { Reason::NoClass }
+}
+
 fn find_deadline(
     received: Timestamp,
     time_left: Option<Duration>,
--- a/crates/node/src/traffic/upstream_listener.rs
+++ b/crates/node/src/traffic/upstream_listener.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use snipehollow_wire::admin::Announcement;
 
 use super::TrafficContext;
 use super::request::{BodyLimits, read_body};
@@ -33,6 +34,14 @@
         }
     };
     match shared.adapters.protocol.read_notice(&parts.method, parts.uri.path(), &body) {
+        Ok(UpstreamNotice::Announce(announcement)) if !is_local(shared, &announcement) => {
+            log::warn!(
+                service = announcement.upstream.service.as_str(),
+                addr = announcement.addr.to_string();
+                "announcement of another upstream ignored"
+            );
+            plain(StatusCode::BAD_REQUEST, "not the upstream of this host\n")
+        }
         Ok(notice) => {
             apply_notice(shared, notice);
             let (body, content_type) = shared.adapters.protocol.acknowledgement();
@@ -48,6 +57,14 @@
     }
 }
 
+/// Returns whether an announcement may come from the upstream of this host: its service and address
+/// are those of the settings, as far as they name any.
+fn is_local(shared: &Shared, announcement: &Announcement) -> bool {
+    let service = shared.configured_service();
+    service.as_ref().is_none_or(|service| *service == announcement.upstream.service)
+        && shared.settings.upstream_addr.is_none_or(|addr| addr == announcement.addr)
+}
+
 fn apply_notice(shared: &Arc<Shared>, notice: UpstreamNotice) {
     let now = shared.clock.now();
     let info = match notice {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use snipehollow_core::key_type;
+use snipehollow_core::lenient::readable_entries;
 
 use crate::StoreError;
 
@@ -46,6 +47,10 @@
     pub version: Version,
 }
 
+/// Response to a list. Others write to the service too, so unreadable entries are left out.
+#[derive(serde::Deserialize)]
+struct KeyValues(#[serde(deserialize_with = "readable_entries")] Vec<KeyValue>);
+
 /// The operations of the key-value service that this project uses.
 pub trait KvStore {
     /// Reads a value. Returns `None` if the key does not exist.
@@ -122,7 +127,11 @@
         let request = self.agent.get(&url).config().timeout_global(Some(self.timeout)).build();
         let mut response = request.call().map_err(unavailable)?;
         match response.status().as_u16() {
-            200 => response.body_mut().read_json().map_err(unavailable),
+            200 => response
+                .body_mut()
+                .read_json()
+                .map(|KeyValues(readable)| readable)
+                .map_err(unavailable),
             status => Err(StoreError::Status(status)),
         }
     }
--- a/crates/store/src/seeds.rs
+++ b/crates/store/src/seeds.rs
@@ -20,6 +20,7 @@
         /// Region of the zone.
         pub region: RegionName,
         /// Control addresses of the members.
+        #[serde(deserialize_with = "snipehollow_core::lenient::readable_entries")]
         pub addrs: Vec<SocketAddr>,
     }
 }
