Soak: large bodies, and upstreams that write refusals twice

Orders have bodies of up to 360 KB one time in seven; an upstream that receives fewer bytes than the body says records a corrupt run, which is a violation. Upstreams refuse every third request for some seconds and write each refusal once more before the next response on the connection. Refusals of orders are trusted now, so that a wrong not-run shows. The checks after the last fault moved to a file of their own, as did the behaviour of the stand-in upstream.

The schedules of earlier seeds keep their faults; the new ones come beside them.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,13 +15,17 @@
 const MEAN_PAUSE: Duration = Duration::from_millis(40);
 /// Maximum calls for one order, including the first one that only gets a ticket.
 const MAX_CALLS_PER_ORDER: usize = 4;
+/// Share of the orders that have a large body.
+const UPLOAD_SHARE: f64 = 0.15;
+/// Maximum size of a large body, in bytes.
+const MAX_UPLOAD_BYTES: usize = 360_000;
 /// Time limit after which a caller gives up on an order.
 const ORDER_TIME_LIMIT: Duration = Duration::from_secs(6);
 
 /// Responses that a caller got for one order.
 #[derive(Clone, Debug)]
 pub struct OrderRecord {
-    /// Body of the order, unique in the soak.
+    /// First line of the body, unique in the soak.
     pub body: String,
     /// Outcome reported by each response; `None` where there was no complete response.
     pub outcomes: Vec<Option<Outcome>>,
@@ -91,11 +95,16 @@
     correlation_id: &str,
     record: &CallerRecord,
 ) {
-    let mut order = OrderRecord {
-        body: format!("order-{correlation_id}"),
-        outcomes: Vec::new(),
-        succeeded: false,
+    let name = format!("order-{correlation_id}");
+    let (name, body) = if rng.chance(UPLOAD_SHARE) {
+        let size = rng.below(MAX_UPLOAD_BYTES);
+        let name = format!("{name} {size}");
+        let body = format!("{name}\n{}", "x".repeat(size));
+        (name, body)
+    } else {
+        (name.clone(), name)
     };
+    let mut order = OrderRecord { body: name, outcomes: Vec::new(), succeeded: false };
     let mut ticket: Option<String> = None;
     let started = Instant::now();
     for _ in 0..MAX_CALLS_PER_ORDER {
@@ -105,7 +114,7 @@
             headers::set(&mut map, headers::TICKET, ticket);
         }
         let result =
-            client.call(to, &Method::POST, "/orders/new", correlation_id, map, &order.body).await;
+            client.call(to, &Method::POST, "/orders/new", correlation_id, map, &body).await;
         count_mismatch(record, &result);
         order.outcomes.push(result.outcome);
         order.succeeded |= result.is_ok();
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -4,6 +4,7 @@
 
 use displaydoc::Display;
 use snipehollow_core::outcome::Outcome;
+use snipehollow_standins::upstream::CORRUPT;
 
 use crate::callers::OrderRecord;
 
@@ -17,6 +18,11 @@
         /// Number of runs that upstreams recorded.
         runs: usize,
     },
+    /// {run}: an upstream received a body that is not as its caller sent it
+    CorruptBody {
+        /// Record of the run.
+        run: String,
+    },
     /// order {body} was reported as a success to its caller but never ran
     SucceededWithoutRun {
         /// Body of the order.
@@ -78,7 +84,9 @@
     for body in runs {
         *counts.entry(body.as_str()).or_default() += 1;
     }
-    let mut violations = Vec::new();
+    let corrupt = runs.iter().filter(|run| run.starts_with(CORRUPT));
+    let mut violations: Vec<Violation> =
+        corrupt.map(|run| Violation::CorruptBody { run: run.clone() }).collect();
     for order in orders {
         let body = order.body.clone();
         let runs = counts.get(body.as_str()).copied().unwrap_or(0);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod plan;
 pub mod proxy;
 pub mod rate_limits;
+mod recovery;
 pub mod run;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -41,11 +41,14 @@
     ApplySheet,
     /// Makes an upstream name a rate limit.
     LimitUpstream,
+    /// Makes an upstream refuse requests and write each refusal twice.
+    RepeatRefusals,
 }
 
 /// Faults of which each series of the schedule draws one; each is equally likely.
 ///
-/// Rate limits are scheduled beside them, so that the schedules of earlier seeds stay as they were.
+/// Rate limits and repeated refusals are scheduled beside them, so that the schedules of earlier seeds
+/// stay as they were.
 pub const ALL_FAULTS: [Fault; 16] = [
     Fault::KillNode,
     Fault::PauseNode,
@@ -67,6 +70,8 @@
 
 /// Makes the random numbers of the rate limits differ from those of the other faults.
 const RATE_LIMIT_SEED: u64 = 0x7261_7465;
+/// Makes the random numbers of the repeated refusals differ from those of the other faults.
+const REFUSAL_SEED: u64 = 0x7265_6675;
 
 /// Fault with its start, duration and target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,24 +116,26 @@
         }
         at += Duration::from_millis(200 + rng.below(1_500) as u64);
     }
-    schedule.extend(rate_limits(seed, hosts, length));
+    let limits = spaced(seed ^ RATE_LIMIT_SEED, Fault::LimitUpstream, hosts, length);
+    let refusals = spaced(seed ^ REFUSAL_SEED, Fault::RepeatRefusals, hosts, length);
+    schedule.extend(limits.into_iter().chain(refusals));
     schedule.sort_by_key(|scheduled| scheduled.at);
     schedule
 }
 
-/// Draws the times in which upstreams name a rate limit.
-fn rate_limits(seed: u64, hosts: usize, length: Duration) -> Vec<ScheduledFault> {
-    let mut rng = Rng::new(seed ^ RATE_LIMIT_SEED);
-    let mut limits = Vec::new();
+/// Draws the times of a fault of single upstreams that lasts some seconds.
+fn spaced(seed: u64, fault: Fault, hosts: usize, length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = Rng::new(seed);
+    let mut faults = Vec::new();
     let mut at = Duration::from_millis(300);
     while at < length {
-        limits.push(ScheduledFault {
+        faults.push(ScheduledFault {
             at,
-            fault: Fault::LimitUpstream,
+            fault,
             host: rng.below(hosts),
             duration: Duration::from_millis(2_000 + rng.below(2_500) as u64),
         });
         at += Duration::from_millis(500 + rng.below(2_500) as u64);
     }
-    limits
+    faults
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,34 +9,31 @@
 
 use rustix::process::Signal;
 use snipehollow_standins::error::StandinError;
-use snipehollow_standins::load::CallResult;
 use snipehollow_standins::mesh::{Mesh, MeshPlan, ServicePlan};
 use snipehollow_standins::store::Faults;
 use snipehollow_standins::upstream::Behaviour;
 use tokio::runtime::Runtime;
 
-use crate::callers::{CallerRecord, read_once, run_caller};
+use crate::callers::{CallerRecord, run_caller};
 use crate::invariants::{Violation, check_orders};
 use crate::plan::{Fault, ScheduledFault, fault_schedule};
 use crate::proxy::{LinkMode, Proxy};
 use crate::rate_limits::{RATE_LIMIT, RateLimits};
 
 /// Time limit for the mesh to serve and agree on the revision after the last fault.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+pub(crate) const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Drain time of the nodes in milliseconds.
 const DRAIN_MS: u64 = 4_000;
 /// Time limit for a node to exit after SIGTERM: the drain time and 3 s.
 const STOP_LIMIT: Duration = Duration::from_millis(DRAIN_MS + 3_000);
 /// Interval of the loop that starts and ends faults and watches the nodes.
-const STEP_INTERVAL: Duration = Duration::from_millis(20);
-/// Consecutive reads that must succeed at every node after the faults.
-const REQUIRED_GOOD_READS: usize = 5;
+pub(crate) const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
 const SHEET: &str = "\
 kind,name,rank,deadline_ms,worth,repeat,retries,service,method,path,class,refusals\n\
 class,order,0,3000,10,never,2,,,,,\n\
 class,read,1,2000,WORTH,may-repeat,2,,,,,\n\
-service,orders,,,,,,,,,,untrusted\n\
+service,orders,,,,,,,,,,trusted\n\
 service,pricing,,,,,,,,,,trusted\n\
 rule,,,,,,,orders,POST,/,order,\n\
 rule,,,,,,,orders,*,/,read,\n\
@@ -121,26 +118,26 @@
     scheduled: ScheduledFault,
 }
 
-struct Soak {
-    mesh: Mesh,
+pub(crate) struct Soak {
+    pub(crate) mesh: Mesh,
     /// Proxy in front of the caller listener of each node.
-    caller_links: Vec<Proxy>,
+    pub(crate) caller_links: Vec<Proxy>,
     /// Proxy between each node and the store.
     store_links: Vec<Proxy>,
     /// Settings file content of each node, with its proxy as the address of the store.
     settings: Vec<String>,
     /// Highest revision seen at each node since its last start.
-    revisions: Vec<u64>,
+    pub(crate) revisions: Vec<u64>,
     /// Whether each node runs, as far as the soak knows.
-    running: Vec<bool>,
+    pub(crate) running: Vec<bool>,
     /// Time of SIGTERM for each node that has not exited yet.
     stopping: Vec<Option<Instant>>,
     store_faults: Faults,
     /// Behaviour of each upstream.
     behaviours: Vec<Behaviour>,
     rate_limits: RateLimits,
-    applied_revision: u64,
-    violations: Vec<Violation>,
+    pub(crate) applied_revision: u64,
+    pub(crate) violations: Vec<Violation>,
 }
 
 impl Soak {
@@ -265,6 +262,7 @@
                 }
                 self.rate_limits.begin(host);
             }
+            Fault::RepeatRefusals => self.set_repeated_refusals(host, true),
             Fault::StoreDown => self.store_faults.down = true,
             Fault::StoreSlow => self.store_faults.slow_ms = 400,
             Fault::StoreLosesResponses => self.store_faults.lose_responses = 3,
@@ -307,6 +305,7 @@
                 self.violations.extend(self.rate_limits.end(&self.mesh, host));
                 self.set_rate_limit(host, 0);
             }
+            Fault::RepeatRefusals => self.set_repeated_refusals(host, false),
             Fault::StoreDown => self.store_faults.down = false,
             Fault::StoreSlow => self.store_faults.slow_ms = 0,
             Fault::StoreLosesResponses => self.store_faults.lose_responses = 0,
@@ -350,6 +349,11 @@
         self.send_behaviour(host);
     }
 
+    fn set_repeated_refusals(&mut self, host: usize, repeats: bool) {
+        self.behaviours[host].repeats_refusals = repeats;
+        self.send_behaviour(host);
+    }
+
     /// Makes an upstream name a rate limit, or none if it is 0; returns whether it is up.
     fn set_rate_limit(&mut self, host: usize, per_second: u32) -> bool {
         self.behaviours[host].rate_limit_milli = per_second * 1_000;
@@ -421,7 +425,7 @@
         }
     }
 
-    fn host_name(&self, host: usize) -> String {
+    pub(crate) fn host_name(&self, host: usize) -> String {
         self.mesh.plan.hosts[host].name.clone()
     }
 
@@ -440,61 +444,4 @@
             }
         }
     }
-
-    /// Checks that every node serves reads and has the applied revision in force.
-    fn check_recovery(&mut self, runtime: &Runtime) {
-        let start = Instant::now();
-        let deadline = start + RECOVERY_LIMIT;
-        let mut good_in_a_row = vec![0; self.running.len()];
-        let mut last_result: Vec<Option<CallResult>> = vec![None; self.running.len()];
-        while good_in_a_row.iter().any(|good| *good < REQUIRED_GOOD_READS)
-            && Instant::now() < deadline
-        {
-            for host in 0..good_in_a_row.len() {
-                let result = runtime.block_on(read_once(self.caller_links[host].addr()));
-                good_in_a_row[host] = if result.is_ok() { good_in_a_row[host] + 1 } else { 0 };
-                last_result[host] = Some(result);
-            }
-            thread::sleep(STEP_INTERVAL);
-        }
-        for host in 0..good_in_a_row.len() {
-            if good_in_a_row[host] < REQUIRED_GOOD_READS {
-                let reason = last_result[host].as_ref().and_then(|result| result.reason);
-                let reason = reason.map_or("no response", |reason| reason.as_str());
-                let problem = format!("node {} does not serve: {reason}", self.host_name(host));
-                self.violations.push(Violation::NotRecovered { problem });
-            }
-            self.check_revision(host, deadline);
-        }
-    }
-
-    /// Checks that a node gets to the last accepted revision in time and never goes back to a lower
-    /// one.
-    fn check_revision(&mut self, host: usize, deadline: Instant) {
-        let host_plan = self.mesh.plan.hosts[host].clone();
-        loop {
-            let revision = self.mesh.state(&host_plan).map_or(0, |state| state.revision);
-            if revision < self.revisions[host] {
-                let from = self.revisions[host];
-                self.violations.push(Violation::RevisionReverted {
-                    host: host_plan.name.clone(),
-                    from,
-                    to: revision,
-                });
-            }
-            self.revisions[host] = self.revisions[host].max(revision);
-            if revision >= self.applied_revision {
-                return;
-            }
-            if Instant::now() >= deadline {
-                let problem = format!(
-                    "node {} is at revision {revision} instead of {}",
-                    host_plan.name, self.applied_revision
-                );
-                self.violations.push(Violation::NotRecovered { problem });
-                return;
-            }
-            thread::sleep(STEP_INTERVAL);
-        }
-    }
 }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -35,6 +35,14 @@
     assert_eq!(violations, [Violation::RanDespiteNotRun { body: "a".into() }]);
 }
 
+/// Guards against a soak that passes although an upstream received a truncated body.
+#[test]
+fn run_of_a_corrupt_body_is_a_violation() {
+    let orders = [order("a 10", &[None], false)];
+    let run = "corrupt a 10".to_owned();
+    assert_eq!(check_orders(&orders, std::slice::from_ref(&run)), [Violation::CorruptBody { run }]);
+}
+
 /// Guards against false alarms: after a call without a response the order may or may not have run.
 #[test]
 fn unknown_outcome_allows_a_run_or_none() {
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -4,11 +4,15 @@
 //! can call other services through its node, crashes on a request that contains [`CRASH_MARKER`],
 //! and counts what it does, so that tests do not depend on what nodes report.
 
+mod behaviour;
+
+pub use behaviour::{Behaviour, UpstreamStats};
+
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -22,7 +26,6 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use snipehollow_core::data_type;
 use snipehollow_core::ids::ServiceName;
 use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
 use snipehollow_wire::admin::Announcement;
@@ -31,6 +34,7 @@
 use tokio::sync::Semaphore;
 
 use crate::error::StandinError;
+use crate::repeating_io::RepeatingIo;
 
 /// Interval between announcements to the node.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -40,6 +44,8 @@
 const LEAVE_NOTICE: Duration = Duration::from_secs(3);
 /// Relative increase of the service time for each waiting request per slot.
 const SLOWDOWN_PER_WAITING: f64 = 0.05;
+/// Start of the record of a run whose body is not as long as it says.
+pub const CORRUPT: &str = "corrupt";
 /// Text that crashes the upstream if it occurs in the body or the path of a request.
 pub const CRASH_MARKER: &str = "crash-this-upstream";
 
@@ -73,64 +79,15 @@
     pub run_log: Option<std::path::PathBuf>,
 }
 
-data_type! {
-    /// Behaviour that tests can change while the upstream runs.
-    pub struct Behaviour {
-        /// Factor applied to the service time, in percent; 100 is normal.
-        #[serde(rename = "slow-percent")]
-        pub service_time_percent: u32,
-        /// Whether every request fails immediately with status 500.
-        pub failing: bool,
-        /// Requests per second that its responses name as a rate limit, in thousandths; 0 names
-        /// none.
-        #[serde(default)]
-        pub rate_limit_milli: u32,
-        /// Whether its responses say that it is leaving.
-        #[serde(default)]
-        pub says_leaving: bool,
-        /// Whether it announces that it is leaving and ends once its requests have completed.
-        pub leaving: bool,
-    }
-
-    /// Counters since the upstream started.
-    #[derive(Default)]
-    pub struct UpstreamStats {
-        /// Requests that began to run or were shed.
-        pub started: u64,
-        /// Requests that ran to their end.
-        pub completed: u64,
-        /// Requests that were cancelled because the caller disconnected.
-        pub cancelled: u64,
-        /// Requests refused because all slots were taken.
-        pub shed: u64,
-        /// Requests that arrived with no time left until their deadline.
-        pub late: u64,
-        /// Additional runs of POST requests whose body was already run before.
-        pub duplicates: u64,
-        /// Maximum number of requests in progress at once.
-        #[serde(rename = "peak")]
-        pub peak_in_flight: u64,
-    }
-}
-
-impl Behaviour {
-    /// Returns the behaviour of an upstream that serves at its usual speed.
-    pub fn normal() -> Behaviour {
-        Behaviour {
-            service_time_percent: 100,
-            failing: false,
-            rate_limit_milli: 0,
-            says_leaving: false,
-            leaving: false,
-        }
-    }
-}
-
 struct State {
     cfg: UpstreamConfig,
     process_start: u64,
     started_at: Instant,
     behaviour: Mutex<Behaviour>,
+    /// Whether refusals are repeated; shared with the connections.
+    repeats_refusals: Arc<AtomicBool>,
+    /// Number of calls while refusals are repeated.
+    repeating_calls: AtomicU64,
     slots: Semaphore,
     in_flight: AtomicU64,
     stats: Mutex<UpstreamStats>,
@@ -168,13 +125,14 @@
         // Failing to disable Nagle's algorithm only adds latency.
         let _ = stream.set_nodelay(true);
         let state = Arc::clone(&state);
+        let io = RepeatingIo::new(stream, Arc::clone(&state.repeats_refusals));
         tokio::spawn(async move {
             let service = service_fn(move |req| {
                 let state = Arc::clone(&state);
                 async move { Ok::<_, Infallible>(state.handle(req).await) }
             });
             // The node notices a broken connection itself.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(io), service).await;
         });
     }
 }
@@ -222,6 +180,8 @@
             process_start,
             started_at: Instant::now(),
             behaviour: Mutex::new(Behaviour::normal()),
+            repeats_refusals: Arc::default(),
+            repeating_calls: AtomicU64::new(0),
             slots: Semaphore::new(slots),
             in_flight: AtomicU64::new(0),
             stats: Mutex::default(),
@@ -295,8 +255,9 @@
             Ok(body) => body.to_bytes(),
             Err(_) => return text(StatusCode::BAD_REQUEST, "cut\n"),
         };
-        match serde_json::from_slice(&body) {
+        match serde_json::from_slice::<Behaviour>(&body) {
             Ok(behaviour) => {
+                self.repeats_refusals.store(behaviour.repeats_refusals, Ordering::Release);
                 *self.behaviour() = behaviour;
                 text(StatusCode::OK, "set\n")
             }
@@ -329,6 +290,9 @@
             self.write_signals(response.headers_mut());
             return response;
         }
+        if self.refuses_to_repeat() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+        }
         let mut run = RunGuard::start(self);
         if self.cfg.sheds_load && run.in_flight > u64::from(self.cfg.slots) {
             run.shed();
@@ -352,6 +316,12 @@
         response
     }
 
+    /// Returns whether a call is refused so that its refusal is repeated.
+    fn refuses_to_repeat(&self) -> bool {
+        self.repeats_refusals.load(Ordering::Acquire)
+            && self.repeating_calls.fetch_add(1, Ordering::AcqRel).is_multiple_of(3)
+    }
+
     /// Writes the headers in which the upstream reports its rate limit and that it is leaving.
     fn write_signals(&self, map: &mut HeaderMap) {
         let behaviour = self.behaviour();
@@ -424,8 +394,15 @@
         written.expect("the run log is not writable");
     }
 
+    /// Records a run under the first line of its body. A second line must have the length that the
+    /// first one ends with; otherwise the run is recorded as one of a [`CORRUPT`] body.
     fn record_run(&self, body: &[u8]) {
-        let key = String::from_utf8_lossy(body).into_owned();
+        let text = String::from_utf8_lossy(body);
+        let key = match text.split_once('\n') {
+            Some((first, rest)) if first.ends_with(&format!(" {}", rest.len())) => first.to_owned(),
+            Some((first, _)) => format!("{CORRUPT} {first}"),
+            None => text.into_owned(),
+        };
         self.append_to_run_log(&key);
         let mut runs =
             self.runs.lock().expect("a panic while holding the lock poisoned the run counts");
