Fuzz the decoders with documents that another writer got wrong

A value of a JSON document is replaced by another type, a number too large, or deep nesting, or a few bytes are changed, inserted, removed or cut off.

--- a/crates/fuzzing/src/bin/fuzz.rs
+++ b/crates/fuzzing/src/bin/fuzz.rs
@@ -12,7 +12,7 @@
 use snipehollow_fuzzing::fleet::{FleetPlan, check_fleet};
 use snipehollow_fuzzing::generators::{CallPlan, sequence};
 use snipehollow_fuzzing::oracles::{
-    check_gate, check_quarantine, check_retries, check_store, check_tickets,
+    check_gate, check_messages, check_quarantine, check_retries, check_store, check_tickets,
 };
 
 /// Fuzzes the decision code against simple oracles; fails if an oracle reports a violation.
@@ -37,15 +37,17 @@
     Retries,
     Quarantine,
     Store,
+    Messages,
     Fleet,
 }
 
-const SCENARIOS: [Scenario; 6] = [
+const SCENARIOS: [Scenario; 7] = [
     Scenario::Gate,
     Scenario::Tickets,
     Scenario::Retries,
     Scenario::Quarantine,
     Scenario::Store,
+    Scenario::Messages,
     Scenario::Fleet,
 ];
 /// Number of events of one sequence.
@@ -105,6 +107,7 @@
             }
             Ok(events / 10)
         }
+        Scenario::Messages => check_messages(seed, SEQUENCE_EVENTS / 10).map(|()| events / 10),
         Scenario::Fleet => check_fleet(&FleetPlan::random(seed)).map(|_| FLEET_EVENTS),
         Scenario::All => Ok(0),
     }
--- a/crates/fuzzing/src/generators/mod.rs
+++ b/crates/fuzzing/src/generators/mod.rs
@@ -3,12 +3,14 @@
 //! All randomness comes from a seed, so that a failing sequence can be reproduced.
 
 mod gate;
+mod json;
 mod quarantine;
 mod retry;
 mod store;
 mod ticket;
 
 pub use gate::GateOp;
+pub use json::{spoil_bytes, spoil_value};
 pub use quarantine::QuarantineOp;
 pub use retry::{CallPlan, TryPlan};
 pub use store::{StoreFault, StoreOp};
--- a/crates/fuzzing/tests/decisions.rs
+++ b/crates/fuzzing/tests/decisions.rs
@@ -6,7 +6,7 @@
     CallPlan, GateOp, QuarantineOp, StoreOp, TicketOp, sequence,
 };
 use snipehollow_fuzzing::oracles::{
-    check_gate, check_quarantine, check_retries, check_store, check_tickets,
+    check_gate, check_messages, check_quarantine, check_retries, check_store, check_tickets,
     count_retries_in_failing_chain,
 };
 
@@ -95,6 +95,14 @@
     }
 }
 
+/// Guards against entries of another writer that hide others or end a node.
+#[test]
+fn wrong_entries_of_messages_hide_no_others() {
+    for seed in 1..=20 {
+        check_messages(seed, 100).unwrap();
+    }
+}
+
 #[test]
 fn fleet_agrees_after_random_operations() {
     for seed in 1..=8 {
