--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -10,22 +10,24 @@
 missed=0
 
 # mutate NAME FILE FROM TO [PACKAGE TEST]: replaces the first FROM in FILE by TO, runs the fuzz tests
-# or the given test file, restores FILE.
+# or the given test file (lib: the tests inside the package), restores FILE.
 mutate() {
     local name=$1 file="$copy/$2" from=$3 to=$4 package=${5:-snipehollow-fuzzing} tests=${6:-decisions}
+    local select=(--test "$tests")
+    [ "$tests" = lib ] && select=(--lib)
     cp "$file" "$file.kept"
     FROM=$from TO=$to perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
     if cmp -s "$file" "$file.kept"; then
         echo "$name: the code to mutate was not found"
         missed=$((missed + 1))
-    elif ! (cd "$copy" && cargo test -q -p "$package" --test "$tests" --no-run) >"$copy/log" 2>&1; then
+    elif ! (cd "$copy" && cargo test -q -p "$package" "${select[@]}" --no-run) >"$copy/log" 2>&1; then
         echo "$name: does not build"
         missed=$((missed + 1))
-    elif (cd "$copy" && cargo test -q -p "$package" --test "$tests") >"$copy/log" 2>&1; then
+    elif (cd "$copy" && cargo test -q -p "$package" "${select[@]}") >"$copy/log" 2>&1; then
         echo "$name: NOT detected"
         missed=$((missed + 1))
     else
-        echo "$name: detected by $(grep -oE '^    [a-z_]+$' "$copy/log" | sort -u | tr -s ' \n' ' ')"
+        echo "$name: detected by $(grep -oE '^    [a-z_:]+$' "$copy/log" | sort -u | tr -s ' \n' ' ')"
     fi
     mv "$file.kept" "$file"
     # The restored file has its old modification time. Without a newer one cargo would not rebuild
@@ -68,5 +70,29 @@
 mutate "status of an earlier process applied" $core/admission/upstream_status.rs \
     "start_matches && self.instance" "self.instance" snipehollow-core upstream_status
 
+mutate "response of another request believed" platform/src/protocol.rs \
+    "if self.response_id(map) != Some(request.id.as_str()) {" "if false {" \
+    snipehollow-platform protocol
+mutate "connection carries the same request twice" crates/node/src/traffic/pool.rs \
+    "&& (id.is_none() || entry.connection.last_id.as_ref() != id)" "" snipehollow-platform nodes
+mutate "try sent after its deadline" crates/node/src/host/tries.rs \
+    "if now >= call.deadline {" "if false {" snipehollow-node lib
+mutate "try sent to an upstream that left" crates/node/src/host/tries.rs \
+    "if let Some(reason) = self.unavailability(now, &call.service) {
+            return Err(reason);" "if let Some(reason) = None {
+            return Err(reason);" snipehollow-node lib
+mutate "memory for bodies not limited" crates/node/src/traffic/held_bytes.rs \
+    "(total <= limit || held == *bytes).then_some(total)" "(total < usize::MAX || limit == 0).then_some(total)" \
+    snipehollow-platform nodes
+mutate "response not charged before it arrives" $core/routing/link.rs \
+    "self.balance -= request_bytes as f64 + expected_response_bytes;" \
+    "self.balance -= request_bytes as f64;" snipehollow-core link
+mutate "implausible incarnation believed" $core/membership/swim.rs \
+    "if !gossiped.incarnation.is_plausible() {" "if false {"
+mutate "unreadable entry hides the message" $core/membership/gossip.rs \
+    '#[serde(deserialize_with = "crate::lenient::readable_entries")]' ""
+mutate "unreadable entry hides the configuration" platform/src/config.rs \
+    "entries.record_unreadable(cause);" "return Err(cause);" snipehollow-platform spoiled_input
+
 echo "$missed not detected"
 [ "$missed" -eq 0 ]
