Do not register a departed upstream again by a late announcement

The departure is now recorded with an unknown start if the start is not known, so that every start before it counts as departed, and like a departure in a response it is reported to entry nodes, which tell a restarted gate. late_announcement_does_not_bring_back_a_discovered_upstream fails on the code before and passes now.

Only suspected: a gate that is restarted after it has acknowledged a departure, and that no entry node tells of it, believes an announcement that arrives late, until the instance ends.

--- a/crates/node/src/host/announcements.rs
+++ b/crates/node/src/host/announcements.rs
@@ -76,16 +76,12 @@
         now: Timestamp,
         instance: &InstanceId,
     ) -> Option<UpstreamInfo> {
-        let known = self.upstream.as_ref().filter(|up| up.instance.as_ref() == Some(instance));
-        let start = known.map(|upstream| upstream.start);
-        self.departures.record(now, instance, start, unix_millis());
-        log::info!(instance = instance.as_str(), known = start.is_some(); "upstream is leaving");
-        if let Some(upstream) = &mut self.upstream
-            && upstream.instance.as_ref() == Some(instance)
-        {
-            upstream.info.state = UpstreamState::Leaving;
-            let actions = upstream.gate.mark_leaving();
-            self.execute_gate_actions(actions);
+        let known = self.upstream.as_ref().is_some_and(|up| up.instance.as_ref() == Some(instance));
+        log::info!(instance = instance.as_str(), known; "upstream is leaving");
+        if known {
+            self.mark_upstream_leaving(now);
+        } else {
+            self.departures.record(now, instance, None, unix_millis());
         }
         self.upstream_info(now)
     }
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -58,7 +58,7 @@
 
     /// Stops dispatches to the local upstream, whose process is leaving whatever its later
     /// announcements say.
-    fn mark_upstream_leaving(&mut self, now: Timestamp) {
+    pub(super) fn mark_upstream_leaving(&mut self, now: Timestamp) {
         let Some(upstream) = &mut self.upstream else {
             return;
         };
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -1,4 +1,5 @@
-//! Tests of tries whose process was paused between the decision of the gate and the dispatch.
+//! Tests of tries whose process was paused between the decision of the gate and the dispatch, and of
+//! late announcements.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,6 +7,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use snipehollow_config::settings::NodeSettings;
+use snipehollow_core::admission::UNKNOWN_PROCESS_START;
 use snipehollow_core::class::{ClassPolicy, Rank};
 use snipehollow_core::ids::{
     CallerKey, ClassName, Fingerprint, InstanceId, RequestId, ServiceName,
@@ -119,3 +121,27 @@
     let drained = refusal_after(pause, long, |host, _| host.stop_admission());
     assert_eq!(drained, Some(Reason::Leaving));
 }
+
+/// Guards against requests that reach an upstream after its departure was acknowledged, because an
+/// announcement that arrives late registers it again: the node was restarted and had found it by a
+/// health check, which does not tell its start.
+#[test]
+fn late_announcement_does_not_bring_back_a_discovered_upstream() {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+    let now = Timestamp::from_millis(1);
+    let discovered =
+        Announcement { start: UNKNOWN_PROCESS_START, ..announcement(0, UpstreamState::Serving) };
+    host.handle_announcement(now, &discovered);
+    assert_eq!(host.unavailability(now, &service()), None);
+    host.handle_upstream_departure(now, &InstanceId::new("i-1").unwrap());
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::Leaving));
+    host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::Leaving));
+    let status = host.local_status().unwrap();
+    assert!(status.leaving, "entry nodes must tell a restarted gate: {status:?}");
+    // Its start is later than the departure.
+    let restarted = Announcement { start: u64::MAX, ..announcement(1, UpstreamState::Serving) };
+    host.handle_announcement(now, &restarted);
+    assert_eq!(host.unavailability(now, &service()), None, "a later process is used again");
+}
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -22,7 +22,7 @@
     /// checks do not report the number.
     pub(crate) start: u64,
     pub(crate) instance: Option<InstanceId>,
-    /// Whether a response of the upstream said that it is leaving.
+    /// Whether the process said in a response or by its departure that it is leaving.
     pub(crate) said_leaving: bool,
     /// Sequence number of the newest announcement; 0 if announcements are not numbered.
     sequence: u64,
