Soak: apply sheets beside the schedule, and name signals in repeated refusals

The schedule waited for the operators' program, which waited for the paused node, and only the schedule resumes nodes. Sheets are applied beside the schedule now.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod rate_limits;
 mod recovery;
 pub mod run;
+mod sheets;
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -56,13 +56,14 @@
                 });
             }
             self.revisions[host] = self.revisions[host].max(revision);
-            if revision >= self.applied_revision {
+            if revision >= self.sheets.applied_revision() {
                 return;
             }
             if Instant::now() >= deadline {
                 let problem = format!(
                     "node {} is at revision {revision} instead of {}",
-                    host_plan.name, self.applied_revision
+                    host_plan.name,
+                    self.sheets.applied_revision()
                 );
                 self.violations.push(Violation::NotRecovered { problem });
                 return;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::plan::{Fault, ScheduledFault, fault_schedule};
 use crate::proxy::{LinkMode, Proxy};
 use crate::rate_limits::{RATE_LIMIT, RateLimits};
+use crate::sheets::Sheets;
 
 /// Time limit for the mesh to serve and agree on the revision after the last fault.
 pub(crate) const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
@@ -136,7 +137,7 @@
     /// Behaviour of each upstream.
     behaviours: Vec<Behaviour>,
     rate_limits: RateLimits,
-    pub(crate) applied_revision: u64,
+    pub(crate) sheets: Sheets,
     pub(crate) violations: Vec<Violation>,
 }
 
@@ -186,7 +187,7 @@
             store_faults: Faults::default(),
             behaviours: vec![Behaviour::normal(); hosts],
             rate_limits: RateLimits::default(),
-            applied_revision: 1,
+            sheets: Sheets::new(SHEET),
             violations: Vec::new(),
         })
     }
@@ -198,6 +199,7 @@
         while next < schedule.len()
             || !active.is_empty()
             || self.stopping.iter().any(Option::is_some)
+            || !self.sheets.is_idle()
         {
             let now = started.elapsed();
             while next < schedule.len() && schedule[next].at <= now {
@@ -213,6 +215,7 @@
             for fault in due {
                 self.end_fault(&fault.scheduled)?;
             }
+            self.sheets.step(&self.mesh)?;
             self.rate_limits.start_counting(&self.mesh);
             self.check_stopping_nodes()?;
             self.check_for_unexpected_exits();
@@ -282,7 +285,7 @@
                 self.store_links[host].reset_connections();
             }
             Fault::ApplySheet => {
-                self.apply_next_sheet()?;
+                self.sheets.request();
                 return Ok(false);
             }
         }
@@ -380,17 +383,6 @@
         Ok(())
     }
 
-    /// Applies a sheet with another weight of the class `read`. A failure is accepted, because the
-    /// store may be affected by a fault.
-    fn apply_next_sheet(&mut self) -> Result<(), StandinError> {
-        let worth = (self.applied_revision % 9 + 1).to_string();
-        let output = self.mesh.apply_sheet(&SHEET.replace("WORTH", &worth))?;
-        if output.status.success() {
-            self.applied_revision += 1;
-        }
-        Ok(())
-    }
-
     /// Restarts nodes that have exited after SIGTERM and reports those that take too long.
     fn check_stopping_nodes(&mut self) -> Result<(), StandinError> {
         for host in 0..self.stopping.len() {
--- a/crates/standins/src/mesh/processes.rs
+++ b/crates/standins/src/mesh/processes.rs
@@ -310,14 +310,27 @@
 
     /// Runs the operators' program `snipehollow` against the store and all nodes of the mesh.
     pub fn run_cli(&self, args: &[&str]) -> Result<Output, StandinError> {
+        self.cli(args).output().map_err(StandinError::io("run snipehollow"))
+    }
+
+    /// Starts the operators' program without waiting for it; its output is discarded.
+    pub fn start_cli(&self, args: &[&str]) -> Result<Child, StandinError> {
+        self.cli(args)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(StandinError::io("start snipehollow"))
+    }
+
+    fn cli(&self, args: &[&str]) -> Command {
         let admins: Vec<String> =
             self.plan.hosts.iter().map(|h| h.admin_addr().to_string()).collect();
-        Command::new(self.bin.join("snipehollow"))
+        let mut command = Command::new(self.bin.join("snipehollow"));
+        command
             .args(["--store", &format!("http://{}", self.plan.store_addr())])
             .args(["--nodes", &admins.join(",")])
-            .args(args)
-            .output()
-            .map_err(StandinError::io("run snipehollow"))
+            .args(args);
+        command
     }
 
     /// Applies a sheet and returns the output of `snipehollow sheet apply` once it succeeds.
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -291,7 +291,9 @@
             return response;
         }
         if self.refuses_to_repeat() {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+            let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+            self.write_signals(response.headers_mut());
+            return response;
         }
         let mut run = RunGuard::start(self);
         if self.cfg.sheds_load && run.in_flight > u64::from(self.cfg.slots) {
