--- a/crates/fuzzing/src/oracles/messages.rs
+++ b/crates/fuzzing/src/oracles/messages.rs
@@ -77,7 +77,7 @@
             host,
             incarnation: Incarnation(1 + rng.below(1_000) as u64),
             state: if alive { MemberState::Alive } else { MemberState::Dead },
-            info: alive.then(|| info()).transpose()?,
+            info: alive.then(info).transpose()?,
         });
     }
     // Only hosts that are known to be alive have a state without metadata.
