Review case 1: orders that wait at a stopping node get no answer

A node that gets SIGTERM ends 5.1 s later and closes the connections of orders that still wait for a slot.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -19,6 +19,7 @@
 const HEARTBEAT: &str = "1500ms";
 /// Process ids of the nodes that run.
 static NODES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+const USUAL_LOAD: Load = Load { work: Duration::from_millis(20), slots: 17 };
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// What happened, with the time since the start, in `record.txt`.
@@ -94,16 +95,35 @@
     pub record: Record,
     pub store: Store,
     folder: PathBuf,
+    load: Load,
+}
+
+/// What an instance can do.
+#[derive(Clone, Copy)]
+pub struct Load {
+    /// Time that a request takes.
+    pub work: Duration,
+    pub slots: u32,
 }
 
 impl Deployment {
     /// Starts the store with this configuration, and a machine for each zone and service.
     pub fn start(record: Record, config: &str, machines: &[(&str, &str)]) -> Result<Deployment> {
+        Deployment::start_with(record, config, machines, USUAL_LOAD)
+    }
+
+    /// The same with other instances.
+    pub fn start_with(
+        record: Record,
+        config: &str,
+        machines: &[(&str, &str)],
+        load: Load,
+    ) -> Result<Deployment> {
         let folder =
             std::env::temp_dir().join(format!("snipehollow-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let store = Store::default();
-        let mut deployment = Deployment { machines: Vec::new(), record, store, folder };
+        let mut deployment = Deployment { machines: Vec::new(), record, store, folder, load };
         deployment.store.put("op/config", config);
         let template = fs::read_to_string("deploy/node.ini")?;
         for (i, (zone, service)) in machines.iter().enumerate() {
@@ -204,6 +224,29 @@
         Ok(())
     }
 
+    /// Sends SIGTERM to the node of a machine.
+    pub fn terminate_node(&mut self, i: usize) -> Result<()> {
+        let machine = &self.machines[i];
+        let child = machine.node.as_ref().ok_or_else(|| Error::other("no node runs"))?;
+        let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        self.record.add(&format!("node of {} gets SIGTERM", machine.name));
+        if status.success() { Ok(()) } else { Err(Error::other("SIGTERM was not sent")) }
+    }
+
+    /// Waits until the node of a machine has ended; kills it if it has not by then.
+    pub fn await_node_end(&mut self, i: usize, timeout: Duration) -> Result<()> {
+        let until = Instant::now() + timeout;
+        let machine = &mut self.machines[i];
+        let child = machine.node.as_mut().ok_or_else(|| Error::other("no node runs"))?;
+        while Instant::now() < until && child.try_wait()?.is_none() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let ended = child.try_wait()?.is_some();
+        let text = if ended { "has ended" } else { "is killed at the end of the grace time" };
+        self.record.add(&format!("node of {} {text}", machine.name));
+        kill_node(&mut machine.node)
+    }
+
     /// Starts the instance of a machine, under a new id.
     pub fn start_instance(&mut self, i: usize) -> Result<()> {
         let record = self.record.clone();
@@ -214,6 +257,7 @@
             .arg("instance")
             .args([&machine.instance_id, &machine.service, &machine.zone])
             .args([machine.app.to_string(), machine.control.to_string()])
+            .args([self.load.work.as_millis().to_string(), self.load.slots.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -20,7 +20,6 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// An instance waits this long for the acknowledgement of a heartbeat.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
-const WORK: Duration = Duration::from_millis(20);
 const PAUSE_IN_ANSWER: Duration = Duration::from_millis(600);
 const BODY_BYTES: usize = 6_000;
 const HEALTH_PATH: &str = "/healthz";
@@ -36,6 +35,9 @@
     pub zone: String,
     pub listen: SocketAddr,
     pub control: SocketAddr,
+    /// Time that a request takes.
+    pub work: Duration,
+    pub slots: u32,
 }
 
 struct Instance {
@@ -98,7 +100,7 @@
             return Ok(true);
         }
         self.report(&format!("runs {id}"));
-        thread::sleep(WORK);
+        thread::sleep(self.cfg.work);
         let seal = format!("{own}.{id}");
         let body = body_of(&id);
         if !req.path().ends_with("/unframed") {
@@ -123,9 +125,9 @@
     fn send_heartbeats(self: &Arc<Instance>) {
         while !self.leaving.load(Ordering::SeqCst) {
             let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-            let Config { id, service, zone, listen, .. } = &self.cfg;
+            let Config { id, service, zone, listen, slots, .. } = &self.cfg;
             let body = format!(
-                r#"{{"Service":"{service}","Address":"{listen}","Zone":"{zone}","Version":"v1","Slots":17,"State":"ready","ColdLeft":"0ms","Seq":{sequence},"born":{}}}"#,
+                r#"{{"Service":"{service}","Address":"{listen}","Zone":"{zone}","Version":"v1","Slots":{slots},"State":"ready","ColdLeft":"0ms","Seq":{sequence},"born":{}}}"#,
                 self.born
             );
             let target = format!("/-/instances/{id}/heartbeat");
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod instance;
 mod late_heartbeat;
+mod queued;
 mod store;
 mod unframed;
 mod watchers;
@@ -51,8 +52,8 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
-    if let ["instance", id, service, zone, listen, control] = args[..] {
-        return run_instance([id, service, zone, listen, control]);
+    if let ["instance", id, service, zone, listen, control, work, slots] = args[..] {
+        return run_instance([id, service, zone, listen, control, work, slots]);
     }
     let [case, record] = args[..] else {
         eprintln!("usage: standin CASE RECORD");
@@ -71,6 +72,7 @@
         "late-heartbeat" => {
             late_heartbeat::play(record.clone(), trouble).map(|breaks| (record, breaks))
         }
+        "queued" => queued::play(record.clone(), trouble).map(|breaks| (record, breaks)),
         "watchers" => watchers::play(record.clone(), trouble).map(|breaks| (record, breaks)),
         _ => Err(std::io::Error::other("no such case")),
     });
@@ -94,16 +96,21 @@
     }
 }
 
-fn run_instance([id, service, zone, listen, control]: [&str; 5]) -> ExitCode {
+fn run_instance([id, service, zone, listen, control, work, slots]: [&str; 7]) -> ExitCode {
     let (Ok(listen), Ok(control)) = (listen.parse(), control.parse()) else {
         return ExitCode::from(2);
     };
+    let (Ok(work), Ok(slots)) = (work.parse(), slots.parse()) else {
+        return ExitCode::from(2);
+    };
     let cfg = instance::Config {
         id: id.into(),
         service: service.into(),
         zone: zone.into(),
         listen,
         control,
+        work: Duration::from_millis(work),
+        slots,
     };
     match instance::run(cfg) {
         Ok(()) => ExitCode::SUCCESS,
@@ -114,8 +121,20 @@
     }
 }
 
-/// Sends a client's request at a machine and records it; `None` without a whole answer.
+/// Sends a client's GET request at a machine and records it; `None` without a whole answer.
 fn request(deployment: &Deployment, at: usize, id: &str, rest: &str) -> Option<http::Response> {
+    send(deployment, at, "GET", id, rest, b"")
+}
+
+/// Sends a client's request at a machine and records it; `None` without a whole answer.
+fn send(
+    deployment: &Deployment,
+    at: usize,
+    method: &str,
+    id: &str,
+    rest: &str,
+    body: &[u8],
+) -> Option<http::Response> {
     let machine = &deployment.machines[at];
     let record = &deployment.record;
     record.add(&format!("request {id} {PREFIX}{rest} sent to {}", machine.name));
@@ -127,7 +146,7 @@
         ("Connection", "close"),
     ];
     let target = format!("{PREFIX}{rest}");
-    let response = http::call(machine.outbound, "GET", &target, &headers, b"", DEADLINE);
+    let response = http::call(machine.outbound, method, &target, &headers, body, DEADLINE);
     match response {
         Ok(response) => {
             let seal = response.header("Snipehollow-Response-Seal").unwrap_or("none").to_owned();
