Stopping node: answer callers before it ends, and pass on only what can end in time

What callers saw: a node that got SIGTERM closed the connections of requests that it had taken and passed on, without an answer. Some waited for a slot of another host and had never run; others were taken late and took longer than the node ran on. Orders among them may not be sent again.

Cause: the wait for a slot was limited by the deadline of the request alone. The stopping node knew that it would end sooner, the gate of the other host did not.

The instance's record rules out late responses of the gate, and the stop came at the configured time.

Change: a stopping node sends with each try when it must have responded, and updates the tries that wait at other gates already. A gate refuses at once what is not expected to end by then, with a margin of one expected service time, and lets nothing wait longer. The refusal is true (not-run) and comes while another node can still serve the caller. What still runs at the end is answered with an unknown outcome in place of a closed connection. Nodes that do not stop behave as before.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -279,6 +279,13 @@
         self.queue.remove(id).is_some()
     }
 
+    /// Moves the deadline of a waiting request forward; returns whether the request waits.
+    ///
+    /// It is refused once it could no longer end by then.
+    pub fn shorten_deadline(&mut self, id: TryId, deadline: Timestamp) -> bool {
+        self.queue.shorten_deadline(id, deadline)
+    }
+
     /// Refuses waiting requests whose deadline has passed, and dispatches those that the rate limit
     /// allows by now.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -149,6 +149,18 @@
         waiting
     }
 
+    /// Moves the deadline of a request forward to `deadline`, unless it is earlier already.
+    ///
+    /// Returns whether the request waits.
+    pub fn shorten_deadline(&mut self, id: TryId, deadline: Timestamp) -> bool {
+        let waiting = self.keys.get(&id).and_then(|key| self.waiting.get_mut(key));
+        let Some(waiting) = waiting else {
+            return false;
+        };
+        waiting.deadline = waiting.deadline.min(deadline);
+        true
+    }
+
     /// Iterates over the waiting requests, most important first.
     pub fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
         self.waiting.values()
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -20,13 +20,13 @@
 use snipehollow_core::time::Timestamp;
 use snipehollow_core::trace::{Step, TraceBuffer};
 use snipehollow_wire::admin::{GateState, RouteState};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
 use super::caller_retries::CallerRetryTable;
 use super::contexts::{ContextTable, ParentCall};
 use super::shedding::SheddingTable;
 use super::tickets::TicketedRunResult;
-use super::tries::GateDecision;
+use super::tries::WaitingTry;
 use super::upstream::LocalUpstream;
 use crate::snapshot::Snapshot;
 use crate::traffic::NodeResponse;
@@ -65,8 +65,8 @@
     /// Whether the host admits no new tries, for a drain or a planned stop.
     pub(super) admission_stopped: bool,
     pub(super) last_try_id: u64,
-    /// Senders through which waiting tries receive the gate's decision.
-    pub(super) decision_senders: FastMap<TryId, oneshot::Sender<GateDecision>>,
+    /// Tries that wait for the gate's decision.
+    pub(super) waiting_tries: FastMap<TryId, WaitingTry>,
     pub(super) quarantine: Quarantine,
     /// Changed quarantine entries that have not been sent to other nodes yet.
     pub(super) quarantine_changes: Vec<(ServiceName, QuarantineEntry)>,
@@ -123,7 +123,7 @@
             upstream: None,
             admission_stopped: false,
             last_try_id: 0,
-            decision_senders: FastMap::default(),
+            waiting_tries: FastMap::default(),
             quarantine: Quarantine::new(QUARANTINE_RETENTION),
             quarantine_changes: Vec::new(),
             tickets: TicketTable::new(
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -60,6 +60,7 @@
         caller: CallerKey::new("branch").unwrap(),
         received: now,
         deadline: now + deadline,
+        entry_end: None,
         fingerprint: Fingerprint::of("pricing", "GET", "/", b""),
         ticket: None,
         suspect: false,
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -6,7 +6,7 @@
 use snipehollow_config::settings::AdmissionMode;
 use snipehollow_core::admission::{Action, Arrival, Completion, LoadLevel};
 use snipehollow_core::class::{ClassPolicy, Rank};
-use snipehollow_core::ids::{CallerKey, InstanceId, ServiceName, TryId};
+use snipehollow_core::ids::{CallerKey, ClassName, InstanceId, RequestId, ServiceName, TryId};
 use snipehollow_core::quarantine::QuarantineDecision;
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
@@ -27,6 +27,14 @@
     Refuse(Reason),
 }
 
+/// A try that waits for the gate's decision.
+pub(crate) struct WaitingTry {
+    request: RequestId,
+    attempt: u16,
+    class: ClassName,
+    tx: oneshot::Sender<GateDecision>,
+}
+
 /// Result of [`HostState::admit`].
 pub(crate) enum Admission {
     /// The try was passed to the gate, which sends its decision through the receiver, possibly at
@@ -70,7 +78,13 @@
         self.last_try_id += 1;
         let id = TryId(self.last_try_id);
         let (tx, rx) = oneshot::channel();
-        self.decision_senders.insert(id, tx);
+        let waiting = WaitingTry {
+            request: call.id.clone(),
+            attempt: call.attempt,
+            class: call.class.name.clone(),
+            tx,
+        };
+        self.waiting_tries.insert(id, waiting);
         let actions = self.handle_arrival(now, id, call);
         self.execute_gate_actions(actions);
         Admission::Wait(id, rx, self.schedule_dispatch(now))
@@ -136,6 +150,9 @@
         if let Some(reason) = self.unavailability(now, &call.service) {
             return Some(reason);
         }
+        if self.outlasts_entry_node(now, call) {
+            return Some(Reason::PredictedLate);
+        }
         if call.suspect {
             self.quarantine.suspect(now, call.fingerprint);
         }
@@ -146,6 +163,32 @@
         }
     }
 
+    /// Returns whether the entry node of a call is stopping and may end before the call does.
+    fn outlasts_entry_node(&self, now: Timestamp, call: &Call) -> bool {
+        let (Some(end), Some(upstream)) = (call.entry_end, &self.upstream) else {
+            return false;
+        };
+        let service_time = upstream.gate.expected_service_time(&call.class.name);
+        now + service_time > end_with_margin(end, service_time)
+    }
+
+    /// Limits the wait of a try, whose entry node ends at `end`; returns whether it waits.
+    pub(crate) fn shorten_wait(
+        &mut self,
+        request: &RequestId,
+        attempt: u16,
+        end: Timestamp,
+    ) -> bool {
+        let is_meant =
+            |waiting: &WaitingTry| waiting.request == *request && waiting.attempt == attempt;
+        let found = self.waiting_tries.iter().find(|(_, waiting)| is_meant(waiting));
+        let (Some((id, waiting)), Some(upstream)) = (found, &mut self.upstream) else {
+            return false;
+        };
+        let service_time = upstream.gate.expected_service_time(&waiting.class);
+        upstream.gate.shorten_deadline(*id, end_with_margin(end, service_time))
+    }
+
     /// Passes a try to the gate as the admission mode prescribes, and returns the gate's actions.
     fn handle_arrival(&mut self, now: Timestamp, id: TryId, call: &Call) -> Vec<Action> {
         let Some(upstream) = &mut self.upstream else {
@@ -154,11 +197,13 @@
         self.shedding.record_arrival(upstream.gate.expected_service_time(&call.class.name));
         match self.admission_mode {
             AdmissionMode::Full | AdmissionMode::Slots => {
+                let service_time = upstream.gate.expected_service_time(&call.class.name);
+                let end = call.entry_end.map(|end| end_with_margin(end, service_time));
                 let arrival = Arrival {
                     id,
                     class: &call.class,
                     caller: &call.caller,
-                    deadline: call.deadline,
+                    deadline: end.map_or(call.deadline, |end| end.min(call.deadline)),
                 };
                 upstream.gate.handle_arrival(now, &arrival)
             }
@@ -228,7 +273,7 @@
         id: TryId,
         completion: Completion,
     ) -> EndedTry {
-        self.decision_senders.remove(&id);
+        self.waiting_tries.remove(&id);
         let was_started = self.contexts.is_registered(id);
         if was_started && self.admission_mode == AdmissionMode::PassThrough {
             self.pass_through_in_flight -= 1;
@@ -319,9 +364,15 @@
     }
 
     fn send_decision(&mut self, id: TryId, decision: GateDecision) {
-        if let Some(tx) = self.decision_senders.remove(&id) {
+        if let Some(waiting) = self.waiting_tries.remove(&id) {
             // The task may have been dropped; its guard then ends the try and frees the slot.
-            let _ = tx.send(decision);
+            let _ = waiting.tx.send(decision);
         }
     }
 }
+
+/// Returns when a try must be expected to end whose entry node ends at `end`: an expected service time
+/// before that, because service times vary.
+fn end_with_margin(end: Timestamp, service_time: Duration) -> Timestamp {
+    Timestamp::from_micros(end.as_micros().saturating_sub(service_time.as_micros() as u64))
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,9 @@
 /// Interval at which a draining node checks for requests in progress.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for writing the last responses, to calls that have not ended when the drain is over.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
+
 /// A node that has been set up but does not run yet; see [`Node::run`].
 pub struct Node {
     shared: Arc<Shared>,
@@ -105,8 +108,9 @@
 ///
 /// During the leave notice the node still accepts requests of callers and sends them to the
 /// upstreams of other hosts, because callers keep sending until the platform has noticed that this
-/// node is not ready.
+/// node is not ready. No call may wait for a slot until the node ends; see [`Shared::calls_end`].
 fn shut_down(shared: &Shared) {
+    shared.set_calls_end();
     shared.drain();
     let started = Instant::now();
     while started.elapsed() < shared.settings.drain_timeout {
@@ -121,6 +125,8 @@
     let remaining = in_progress(shared);
     if remaining > 0 {
         log::warn!(requests = remaining; "drain timeout reached with requests in progress");
+        shared.end_calls();
+        thread::sleep(LAST_RESPONSES_TIME);
     }
     shared.stop();
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,13 +1,16 @@
 //! State that the threads of a node share.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use snipehollow_config::settings::NodeSettings;
 use snipehollow_core::ids::{Incarnation, ServiceName};
 use snipehollow_core::invariant;
 use snipehollow_core::ticket::{ProcessStartId, TicketKey};
+use snipehollow_core::time::Timestamp;
+use tokio_util::sync::CancellationToken;
 
 use crate::NodeError;
 use crate::adapters::Adapters;
@@ -18,6 +21,10 @@
 use crate::snapshot::Snapshot;
 use crate::traffic::InProgress;
 
+/// How long before the end of the drain a refusal must leave the gate of another host to reach the
+/// caller in time. A gate looks for expired requests ten times a second.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+
 /// State that the threads of a node share.
 ///
 /// There are two locks. `control` is mainly for the control thread; the upstream listener, the
@@ -35,6 +42,12 @@
     host: Mutex<HostState>,
     /// Whether this host is leaving and admits no new tries.
     draining: AtomicBool,
+    /// When a stopping node must have responded to all callers; unset before it stops.
+    calls_end: OnceLock<Timestamp>,
+    /// Cancelled when `calls_end` is set.
+    end_set: CancellationToken,
+    /// Cancelled when the time for the calls in progress is over.
+    calls_ended: CancellationToken,
     /// Whether callers' requests are refused because the process will end soon.
     refusing_callers: AtomicBool,
     /// Whether all threads must end now.
@@ -70,6 +83,9 @@
             control: Mutex::new(control),
             host: Mutex::new(host),
             draining: AtomicBool::new(false),
+            calls_end: OnceLock::new(),
+            end_set: CancellationToken::new(),
+            calls_ended: CancellationToken::new(),
             refusing_callers: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             caller_requests: InProgress::default(),
@@ -100,6 +116,34 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Sets when this node, which stops, must have responded to all callers.
+    pub(crate) fn set_calls_end(&self) {
+        let time_left = self.settings.drain_timeout.saturating_sub(RESPONSE_MARGIN);
+        // It stays as it was first set.
+        let _ = self.calls_end.set(self.clock.now() + time_left);
+        self.end_set.cancel();
+    }
+
+    /// Returns when this node must have responded to all callers; `None` unless it stops.
+    pub(crate) fn calls_end(&self) -> Option<Timestamp> {
+        self.calls_end.get().copied()
+    }
+
+    /// Waits until [`Shared::calls_end`] is set.
+    pub(crate) async fn calls_end_set(&self) {
+        self.end_set.cancelled().await;
+    }
+
+    /// Waits until the time for the calls in progress is over.
+    pub(crate) async fn calls_ended(&self) {
+        self.calls_ended.cancelled().await;
+    }
+
+    /// Makes the calls that are still in progress respond that their outcome is unknown.
+    pub(crate) fn end_calls(&self) {
+        self.calls_ended.cancel();
+    }
+
     /// Sets the service that the settings name for the local upstream.
     pub(crate) fn set_configured_service(&self, service: Option<ServiceName>) {
         self.configured_service.store(Arc::new(service));
--- a/crates/node/src/traffic/call.rs
+++ b/crates/node/src/traffic/call.rs
@@ -34,6 +34,9 @@
     pub(crate) received: Timestamp,
     /// When the response must be complete, on the clock of this process.
     pub(crate) deadline: Timestamp,
+    /// When the entry node of the call ends, on the clock of this process; `None` unless that node
+    /// is stopping.
+    pub(crate) entry_end: Option<Timestamp>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) ticket: Option<Ticket>,
     /// Whether an upstream died while it was running an earlier try of this request.
@@ -52,6 +55,14 @@
         self.repeat_share >= 1.0
     }
 
+    /// Returns the time by which the response must reach the entry node: the deadline, or the end of
+    /// the entry node if that is earlier.
+    ///
+    /// It limits the wait for a slot. The upstream of a dispatched try is told the deadline.
+    pub(crate) fn respond_by(&self) -> Timestamp {
+        self.entry_end.map_or(self.deadline, |end| end.min(self.deadline))
+    }
+
     /// Returns the time until which a response has its full worth: the target latency of the
     /// class, or the deadline if that is earlier or the class has no target.
     pub(crate) fn worth_until(&self) -> Timestamp {
--- a/crates/node/src/traffic/caller_listener.rs
+++ b/crates/node/src/traffic/caller_listener.rs
@@ -13,6 +13,7 @@
 use snipehollow_config::model::Config;
 use snipehollow_core::class::{ClassPolicy, Repeat};
 use snipehollow_core::ids::{CallerKey, Fingerprint, RequestId, ServiceName, VirtualHostName};
+use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::{Allowance, RetryState};
 use snipehollow_core::ticket::Ticket;
@@ -38,7 +39,13 @@
             let call = Arc::new(accepted.call);
             let mut disconnect_log =
                 DisconnectLog { traffic: &traffic, call: Some(Arc::clone(&call)) };
-            let response = run(&traffic, &call, accepted.parent, accepted.allowance).await;
+            let response = tokio::select! {
+                response = run(&traffic, &call, accepted.parent, accepted.allowance) => response,
+                // Its upstream may still be running it.
+                () = traffic.shared.calls_ended() => {
+                    NodeResponse::failure(Reason::Timeout, Outcome::Unknown)
+                }
+            };
             disconnect_log.call = None;
             drop(disconnect_log);
             (Some(call), response)
@@ -138,6 +145,7 @@
         caller,
         received,
         deadline,
+        entry_end: None,
         fingerprint,
         ticket,
         suspect: false,
@@ -356,7 +364,7 @@
         }
         // The parent request has ended, so nothing waits for the response any more.
         () = parent.ended.cancelled() => {
-            NodeResponse::failure(Reason::ParentEnded, snipehollow_core::outcome::Outcome::Unknown)
+            NodeResponse::failure(Reason::ParentEnded, Outcome::Unknown)
         }
     }
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -50,6 +50,7 @@
     let mut time_in_tries = Duration::ZERO;
     let mut call = Arc::clone(call);
     loop {
+        call = with_entry_end(traffic, call);
         let route = match choose_host_or_wait(traffic, &call, &progress).await {
             Ok(route) => route,
             Err(reason) => {
@@ -150,7 +151,7 @@
     let mut waited = Duration::ZERO;
     loop {
         let chosen = choose_host(traffic, call, &progress.tried);
-        let time_left = call.deadline.since(traffic.shared.clock.now());
+        let time_left = call.respond_by().since(traffic.shared.clock.now());
         let may_wait = waited < MAX_HOST_WAIT && time_left > HOST_POLL_INTERVAL * 2;
         let needs_other_host = match &chosen {
             Ok(route) => {
@@ -254,7 +255,7 @@
     response: &NodeResponse,
 ) -> bool {
     let now = traffic.shared.clock.now();
-    let in_time = call.deadline.since(now) >= MIN_TIME_FOR_RETRY;
+    let in_time = call.respond_by().since(now) >= MIN_TIME_FOR_RETRY;
     if !in_time || !is_retryable(call, response) || progress.upstream_deaths >= MAX_UPSTREAM_DEATHS
     {
         return false;
@@ -285,6 +286,15 @@
     call.ticket.is_some() && host_cannot_run && response.outcome == Outcome::NotRun
 }
 
+/// Returns the call with the time by which this node must respond if it is stopping.
+fn with_entry_end(traffic: &TrafficContext, call: Arc<Call>) -> Arc<Call> {
+    let end = traffic.shared.calls_end().filter(|end| *end < call.deadline);
+    if end.is_none() || call.entry_end == end {
+        return call;
+    }
+    Arc::new(Call { entry_end: end, ..Call::clone(&call) })
+}
+
 fn without_ticket(call: &Call) -> Arc<Call> {
     let mut next = call.clone();
     next.ticket = None;
@@ -349,6 +359,12 @@
     response.unspent = retries.unspent();
     response.tries = progress.tried.len() as u16;
     let now = traffic.shared.clock.now();
+    let is_ended_early = response.reason == Reason::DeadlinePassed && now < call.deadline;
+    if is_ended_early && response.outcome == Outcome::NotRun {
+        // The end of this node was the limit, so another node may still serve the caller.
+        let refusal = NodeResponse::refusal(Reason::Leaving);
+        (response.reason, response.status) = (refusal.reason, refusal.status);
+    }
     let step =
         Step::new(now, Stage::Answer, response.reason, call.attempt).with_outcome(response.outcome);
     traffic.shared.host().trace(&call.id, step);
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -247,8 +247,8 @@
     if let Ok(decision) = rx.try_recv() {
         return decision;
     }
-    let deadline = tokio::time::Instant::from_std(traffic.shared.clock.instant(call.deadline));
-    match timeout_at(deadline, rx).await {
+    let limit = tokio::time::Instant::from_std(traffic.shared.clock.instant(call.respond_by()));
+    match timeout_at(limit, rx).await {
         Ok(Ok(decision)) => decision,
         Ok(Err(_)) => GateDecision::Refuse(Reason::NoUpstream),
         Err(_) => GateDecision::Refuse(Reason::DeadlinePassed),
--- a/crates/node/src/traffic/peer_client.rs
+++ b/crates/node/src/traffic/peer_client.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Request, Uri};
+use hyper::{HeaderMap, Request, StatusCode, Uri};
 use snipehollow_core::admission::{LoadLevel, SheddingLevels, UpstreamStatus};
 use snipehollow_core::ids::ServiceName;
 use snipehollow_core::outcome::Outcome;
@@ -50,7 +50,8 @@
         allow_unframed: false,
         reuse: Reuse::of(call.class.repeat),
     };
-    match exchange(&traffic.pool, route.host.addr, req, deadline, options).await {
+    let exchange = exchange(&traffic.pool, route.host.addr, req, deadline, options);
+    match announce_entry_end(traffic, call, route.host.addr, exchange).await {
         Ok(mut buffered) => {
             if headers::text(&buffered.headers, &headers::REQUEST_ID) != Some(call.id.as_str()) {
                 // The connection is out of sync, so it is not used again.
@@ -65,6 +66,62 @@
     }
 }
 
+/// Waits for the response to a try. If this node starts to stop meanwhile, the gate is told when
+/// this node ends.
+async fn announce_entry_end<T>(
+    traffic: &TrafficContext,
+    call: &Call,
+    addr: SocketAddr,
+    response: impl Future<Output = T>,
+) -> T {
+    if call.entry_end.is_some() {
+        // The try carried it.
+        return response.await;
+    }
+    tokio::pin!(response);
+    tokio::select! {
+        response = &mut response => return response,
+        () = traffic.shared.calls_end_set() => {}
+    }
+    match traffic.shared.calls_end().filter(|end| *end < call.deadline) {
+        Some(end) => tokio::join!(response, send_entry_end(traffic, call, addr, end)).0,
+        None => response.await,
+    }
+}
+
+/// Tells the gate of a try that was sent before when this node ends.
+async fn send_entry_end(traffic: &TrafficContext, call: &Call, addr: SocketAddr, end: Timestamp) {
+    let now = traffic.shared.clock.now();
+    let mut req = Request::new(Full::new(bytes::Bytes::new()));
+    let map = req.headers_mut();
+    headers::set(map, HOST, addr);
+    headers::set(map, headers::SECRET, &traffic.shared.settings.secret);
+    headers::set(map, headers::ZONE, &traffic.shared.settings.zone);
+    headers::set(map, headers::REQUEST_ID, &call.id);
+    headers::set(map, headers::ATTEMPT, call.attempt);
+    headers::set(map, headers::TRY_UPDATE, 1);
+    headers::set(map, headers::ENTRY_END, end.since(now).as_millis());
+    let options = ExchangeOptions {
+        id: None,
+        held: &traffic.held,
+        max_bytes: 0,
+        allow_unframed: false,
+        reuse: Reuse::Any,
+    };
+    let deadline = traffic.shared.clock.instant(end);
+    let sent = exchange(&traffic.pool, addr, req, deadline, options).await;
+    let accepted = sent.as_ref().is_ok_and(|response| response.status == StatusCode::NO_CONTENT);
+    if !accepted {
+        log::warn!(
+            id = call.id.as_str(), attempt = call.attempt, gate = addr.to_string();
+            "gate of a try was not told the end of this node"
+        );
+    }
+    if let Some(connection) = sent.ok().and_then(|response| response.connection) {
+        traffic.pool.return_connection(connection);
+    }
+}
+
 fn peer_request(
     traffic: &TrafficContext,
     call: &Call,
@@ -88,6 +145,9 @@
     headers::set(map, headers::DEADLINE, call.deadline.since(now).as_millis());
     headers::set(map, headers::ALLOWANCE, granted.0);
     headers::set(map, headers::ATTEMPT, call.attempt);
+    if let Some(end) = call.entry_end {
+        headers::set(map, headers::ENTRY_END, end.since(now).as_millis());
+    }
     if call.repeat_share > 0.0 {
         headers::set(map, headers::REPEAT_SHARE, format!("{:.3}", call.repeat_share));
     }
--- a/crates/node/src/traffic/peer_listener.rs
+++ b/crates/node/src/traffic/peer_listener.rs
@@ -14,6 +14,7 @@
 use snipehollow_core::ids::{CallerKey, ClassName, Fingerprint, RequestId, ServiceName, ZoneName};
 use snipehollow_core::retry::Allowance;
 use snipehollow_core::ticket::Ticket;
+use snipehollow_core::time::Timestamp;
 use snipehollow_wire::headers;
 
 use super::request::{BodyLimits, bad_request, max_body_bytes, read_body, split_path};
@@ -30,6 +31,9 @@
     }
     let id = headers::text(req.headers(), &headers::REQUEST_ID);
     let id = id.and_then(|text| RequestId::new(text).ok());
+    if req.headers().contains_key(headers::TRY_UPDATE) {
+        return update_try(&traffic, req.headers(), id.as_ref());
+    }
     let status = headers::text(req.headers(), &headers::UPSTREAM_STATUS);
     let status = status.and_then(UpstreamStatus::parse);
     match accept(&traffic, req).await {
@@ -41,6 +45,35 @@
     }
 }
 
+/// Applies the update of a try whose entry node is stopping: it must not wait for a slot beyond the
+/// end of that node, which could not respond to its caller.
+fn update_try(
+    traffic: &TrafficContext,
+    map: &HeaderMap,
+    id: Option<&RequestId>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    let now = traffic.shared.clock.now();
+    let attempt = headers::parse(map, &headers::ATTEMPT);
+    match (id, attempt, read_entry_end(map, now)) {
+        (Some(id), Some(attempt), Some(end)) => {
+            let waits = traffic.shared.host().shorten_wait(id, attempt, end);
+            log::info!(
+                id = id.as_str(), attempt, waits, left_ms = end.since(now).as_millis() as u64;
+                "entry node of a try is stopping"
+            );
+            *response.status_mut() = StatusCode::NO_CONTENT;
+        }
+        _ => *response.status_mut() = StatusCode::BAD_REQUEST,
+    }
+    response
+}
+
+fn read_entry_end(map: &HeaderMap, received: Timestamp) -> Option<Timestamp> {
+    let left = headers::parse(map, &headers::ENTRY_END)?;
+    Some(received + Duration::from_millis(left))
+}
+
 fn is_trusted(traffic: &TrafficContext, map: &HeaderMap) -> bool {
     let settings = &traffic.shared.settings;
     let presented = headers::text(map, &headers::SECRET).unwrap_or("");
@@ -74,7 +107,7 @@
     traffic: &TrafficContext,
     mut parts: Parts,
     body: Bytes,
-    received: snipehollow_core::time::Timestamp,
+    received: Timestamp,
 ) -> Option<(Call, Allowance)> {
     let map = &parts.headers;
     let (service, path) = split_path(&parts.uri)?;
@@ -96,6 +129,7 @@
         None => None,
     };
     let fingerprint = Fingerprint::of(service.as_str(), parts.method.as_str(), &path, &body);
+    let entry_end = read_entry_end(map, received);
     let class = class.policy(traffic);
     headers::strip_all(&mut parts.headers);
     parts.headers.remove(hyper::header::HOST);
@@ -113,6 +147,7 @@
         caller,
         received,
         deadline: received + time_left,
+        entry_end,
         fingerprint,
         ticket,
         suspect,
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -70,8 +70,15 @@
 /// node in a request.
 pub const UPSTREAM_STATUS: HeaderName = HeaderName::from_static("snipehollow-upstream-status");
 
+/// Internal: time until the entry node of the request ends, in milliseconds; absent unless that
+/// node is stopping.
+pub const ENTRY_END: HeaderName = HeaderName::from_static("snipehollow-entry-end-ms");
+/// Internal: marks a message that carries no request: it adds [`ENTRY_END`] to the try with the same
+/// [`REQUEST_ID`] and [`ATTEMPT`], which was sent before.
+pub const TRY_UPDATE: HeaderName = HeaderName::from_static("snipehollow-try-update");
+
 /// All headers of this project. A node forwards other headers unchanged, except hop-by-hop ones.
-static PROJECT_HEADERS: [HeaderName; 23] = [
+static PROJECT_HEADERS: [HeaderName; 25] = [
     REQUEST_ID,
     CALLER,
     ATTEMPT,
@@ -95,6 +102,8 @@
     SHEDDING_LEVELS,
     UPSTREAM_STATUS,
     DEPENDENCIES,
+    ENTRY_END,
+    TRY_UPDATE,
 ];
 
 /// Headers that callers and upstreams may send.
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use snipehollow_core::outcome::Outcome;
 use snipehollow_core::reason::Reason;
+use snipehollow_standins::load::CallResult;
 use snipehollow_standins::mesh::{Mesh, MeshPlan, PEER_SECRET, ServicePlan};
 use snipehollow_standins::upstream::Behaviour;
 use snipehollow_wire::headers;
@@ -77,6 +78,72 @@
     assert_eq!(mesh.node(0).unwrap().wait(LIMIT).unwrap().code(), Some(0));
 }
 
+/// Number of requests that wait for a slot when their entry node stops, before and after SIGTERM.
+const WAITING: usize = 10;
+/// Sheet of a mesh that runs the services `orders` and `pricing`.
+const SHEET_OF_BOTH: &str = "\
+kind,name,rank,deadline_ms,repeat,service,method,path,class\n\
+class,read,1,20000,may-repeat,,,,\n\
+service,orders,,,,,,,\n\
+service,pricing,,,,,,,\n\
+rule,,,,,orders,*,/,read\n\
+rule,,,,,pricing,*,/,read\n";
+
+/// Guards against requests that wait for a slot of another host, and are cut off without an answer
+/// when their entry node ends.
+#[test]
+fn requests_that_wait_at_another_host_are_answered_before_their_entry_node_ends() {
+    let services =
+        vec![ServicePlan::new("orders", 1, 4, 1), ServicePlan::new("pricing", 1, 4, 700)];
+    let mut plan = MeshPlan::new(&[("zone-a", "region-a")], services);
+    plan.run_settings.push_str("drain_ms = 4000\nleave_notice_ms = 2500\nadmission = slots\n");
+    let mut mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
+    assert!(mesh.apply_sheet(SHEET_OF_BOTH).unwrap().status.success());
+    mesh.wait_ready(1).unwrap();
+    let entry = mesh.plan.hosts.iter().position(|host| host.name == "orders-1").unwrap();
+    let to = mesh.plan.hosts[entry].caller_addr();
+    // The gate learns how long a request takes.
+    assert!(Caller::new().get(to, "/pricing/quote").is_ok());
+    let send = |count| -> Vec<_> {
+        (0..count).map(|_| thread::spawn(move || Caller::new().get(to, "/pricing/quote"))).collect()
+    };
+    let before = send(WAITING);
+    thread::sleep(Duration::from_millis(300));
+    mesh.node(entry).unwrap().signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(200));
+    let after = send(WAITING);
+    let results: Vec<_> =
+        before.into_iter().chain(after).map(|sent| sent.join().unwrap()).collect();
+    assert_eq!(mesh.node(entry).unwrap().wait(LIMIT).unwrap().code(), Some(0));
+    let ran = results.iter().filter(|result| result.is_ok()).count();
+    let refused = |result: &CallResult| result.outcome == Some(Outcome::NotRun);
+    assert!(results.iter().all(|result| result.is_ok() || refused(result)), "{results:#?}");
+    assert!(ran >= 4, "only {ran} of the requests ran while there was time");
+}
+
+/// Guards against a request that a stopping node takes late and passes on, though it takes longer than
+/// the node runs, and that is cut off when the node ends.
+#[test]
+fn late_request_that_outlasts_its_stopping_entry_node_is_refused() {
+    let services =
+        vec![ServicePlan::new("orders", 1, 4, 1), ServicePlan::new("pricing", 1, 8, 900)];
+    let mut plan = MeshPlan::new(&[("zone-a", "region-a")], services);
+    plan.run_settings.push_str("drain_ms = 3000\nleave_notice_ms = 2800\nadmission = slots\n");
+    let mut mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
+    assert!(mesh.apply_sheet(SHEET_OF_BOTH).unwrap().status.success());
+    mesh.wait_ready(1).unwrap();
+    let entry = mesh.plan.hosts.iter().position(|host| host.name == "orders-1").unwrap();
+    let to = mesh.plan.hosts[entry].caller_addr();
+    assert!(Caller::new().get(to, "/pricing/quote").is_ok());
+    mesh.node(entry).unwrap().signal(Signal::TERM);
+    let early = Caller::new().get(to, "/pricing/quote");
+    assert!(early.is_ok(), "there is time for it: {early:?}");
+    thread::sleep(Duration::from_millis(1_500));
+    let late = Caller::new().get(to, "/pricing/quote");
+    assert_eq!(late.outcome, Some(Outcome::NotRun), "{late:?}");
+    assert_eq!(mesh.node(entry).unwrap().wait(LIMIT).unwrap().code(), Some(0));
+}
+
 /// Guards against requests that are still sent to an upstream after it announced that it is
 /// leaving.
 #[test]
