Departures of upstreams bind their node after a restart

What callers saw: requests reached an upstream up to 9.6 s after its node had acknowledged that it leaves, so they could be cut off when it ended.

Cause: departures were kept in the memory of the process that acknowledged them. A restarted node believed the first announcement that it got, also one from before the departure.

The health check failed all the while, so it did not bring the upstream back.

A node that starts reads the departures of its host before the configuration. Until they are known, announcements of unknown upstreams are held; a health check or ten seconds without the store release them. has_departed takes the sequence number too; its tests pass the largest one, which only a departure that cannot be taken back rejects.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -19,7 +19,7 @@
 
 pub use action::{MemberAction, ProbeId};
 pub use config::MembershipConfig;
-pub use departures::Departures;
+pub use departures::{Departures, RecordedDeparture};
 pub use directory::{
     Directory, DirectoryAction, DirectoryConfig, DirectoryQuery, DirectoryResponse, ServiceDigest,
     ServiceHosts,
--- a/crates/node/src/host/announcements.rs
+++ b/crates/node/src/host/announcements.rs
@@ -1,8 +1,10 @@
 //! Announcements of the local upstream, and its departure.
 
+use std::time::Duration;
+
 use snipehollow_core::admission::UNKNOWN_PROCESS_START;
 use snipehollow_core::ids::{InstanceId, ServiceName};
-use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
+use snipehollow_core::membership::{RecordedDeparture, UpstreamInfo, UpstreamState};
 use snipehollow_core::time::Timestamp;
 use snipehollow_wire::admin::Announcement;
 
@@ -11,10 +13,14 @@
 use crate::clock::unix_millis;
 use crate::logging::decisions;
 
+/// How late an announcement may arrive.
+const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(10);
+
 impl HostState {
     /// Applies an announcement of the local upstream.
     ///
-    /// An outdated announcement is ignored. One from another process replaces the current upstream.
+    /// An outdated announcement is ignored, and one that may precede an unknown departure is held.
+    /// One from another process replaces the current upstream.
     /// Returns the state of the upstream to advertise to the other members.
     pub(crate) fn handle_announcement(
         &mut self,
@@ -29,12 +35,20 @@
             );
             return self.upstream_info(now);
         }
-        let departed = announcement
-            .instance
-            .as_ref()
-            .is_some_and(|id| self.departures.has_departed(now, id, announcement.start));
         let same_process =
             self.upstream.as_ref().is_some_and(|up| up.is_same_process(announcement));
+        if !same_process && !self.departures_known && may_precede_departure(announcement) {
+            log::info!(
+                instance = announcement.instance.as_ref().map_or("", |id| id.as_str()),
+                sequence = announcement.sequence;
+                "announcement held until the earlier departures are known"
+            );
+            self.held_announcement = Some(announcement.clone());
+            return self.upstream_info(now);
+        }
+        let departed = announcement.instance.as_ref().is_some_and(|id| {
+            self.departures.has_departed(now, id, announcement.start, announcement.sequence)
+        });
         if !same_process {
             decisions::log_upstream_instance(announcement);
             self.remove_upstream(now);
@@ -51,10 +65,15 @@
         if departed || upstream.said_leaving {
             upstream.info.state = UpstreamState::Leaving;
         }
+        if announcement.upstream.state == UpstreamState::Leaving && announcement.sequence > 0 {
+            self.store_departure(Some(announcement.sequence));
+        }
+        let upstream = self.upstream.as_mut()?;
         let leaving = admission_stopped || upstream.info.state == UpstreamState::Leaving;
         let actions = if leaving {
             upstream.gate.mark_leaving()
         } else {
+            upstream.departure_saved = false;
             upstream.gate.resume();
             upstream.gate.set_slots(now, slots)
         };
@@ -81,11 +100,82 @@
         if known {
             self.mark_upstream_leaving(now);
         } else {
-            self.departures.record(now, instance, None, unix_millis());
+            let unix_ms = unix_millis();
+            self.departures.record(now, instance, None, unix_ms);
+            let instance = instance.clone();
+            let departure = RecordedDeparture { instance, start: None, sequence: None, unix_ms };
+            self.unsaved_departures.push(departure);
         }
         self.upstream_info(now)
     }
 
+    /// Queues the departure of the current upstream to be saved, once for each process. `sequence`
+    /// is that of the announcement which told it; `None` if the departure is final.
+    pub(super) fn store_departure(&mut self, sequence: Option<u64>) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        if let (Some(instance), false) = (&upstream.instance, upstream.departure_saved) {
+            upstream.departure_saved = true;
+            self.unsaved_departures.push(RecordedDeparture {
+                instance: instance.clone(),
+                start: Some(upstream.start).filter(|start| *start != UNKNOWN_PROCESS_START),
+                sequence,
+                unix_ms: unix_millis(),
+            });
+        }
+    }
+
+    /// Returns the departures that have to be saved, and clears them.
+    pub(crate) fn take_unsaved_departures(&mut self) -> Vec<RecordedDeparture> {
+        std::mem::take(&mut self.unsaved_departures)
+    }
+
+    /// Makes announcements of unknown upstreams wait until [`HostState::restore_departures`].
+    pub(crate) fn await_departures(&mut self) {
+        self.departures_known = false;
+    }
+
+    /// Restores the departures that were acknowledged before this process started, and applies the
+    /// announcement that waited for them.
+    ///
+    /// Returns the state of the upstream to advertise to the other members.
+    pub(crate) fn restore_departures(
+        &mut self,
+        now: Timestamp,
+        departures: Vec<RecordedDeparture>,
+    ) -> Option<UpstreamInfo> {
+        for departure in departures {
+            self.departures.restore(now, departure, unix_millis());
+        }
+        self.departures_known = true;
+        self.apply_held_announcement(now)
+    }
+
+    /// Applies the announcement that was held, if the upstream was discovered meanwhile or the
+    /// earlier departures are known.
+    pub(crate) fn apply_held_announcement(&mut self, now: Timestamp) -> Option<UpstreamInfo> {
+        if let Some(held) = self.held_announcement.take() {
+            return self.handle_announcement(now, &held);
+        }
+        self.upstream_info(now)
+    }
+
+    /// Returns whether an announcement is held.
+    pub(crate) fn holds_announcement(&self) -> bool {
+        self.held_announcement.is_some()
+    }
+
+    /// Stops holding announcements once none from before the start of this process can arrive any
+    /// more. The held one may be so old; the upstream renews it.
+    pub(super) fn expire_hold(&mut self, now: Timestamp) {
+        if !self.departures_known && now >= Timestamp::ZERO + MAX_ANNOUNCEMENT_DELAY {
+            log::warn!("earlier departures were not read, announcements are believed without them");
+            self.departures_known = true;
+            self.held_announcement = None;
+        }
+    }
+
     /// Returns the state of the local upstream to advertise to the other members; `None` without a
     /// current announcement.
     pub(crate) fn upstream_info(&self, now: Timestamp) -> Option<UpstreamInfo> {
@@ -102,3 +192,11 @@
         self.upstream.as_ref().map(|upstream| upstream.info.service.clone())
     }
 }
+
+/// Returns whether an announcement may have been sent before a departure that this process does not
+/// know of. What a health check showed is present.
+fn may_precede_departure(announcement: &Announcement) -> bool {
+    announcement.upstream.state != UpstreamState::Leaving
+        && announcement.start != UNKNOWN_PROCESS_START
+        && announcement.instance.is_some()
+}
--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -69,6 +69,7 @@
             let start = Some(upstream.start).filter(|start| *start != UNKNOWN_PROCESS_START);
             self.departures.record(now, instance, start, unix_millis());
         }
+        self.store_departure(None);
         self.execute_gate_actions(actions);
     }
 
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -9,7 +9,7 @@
 use snipehollow_core::class::Rank;
 use snipehollow_core::collections::{FastMap, FastSet};
 use snipehollow_core::ids::{ClassName, HostName, RequestId, ServiceName, TryId};
-use snipehollow_core::membership::{Departures, UpstreamState};
+use snipehollow_core::membership::{Departures, RecordedDeparture, UpstreamState};
 use snipehollow_core::quarantine::{Quarantine, QuarantineEntry};
 use snipehollow_core::retry::{ActiveRuns, AllowanceTable, RetryBudget};
 use snipehollow_core::rng::Rng;
@@ -19,7 +19,7 @@
 use snipehollow_core::ticket::{ProcessStartId, TicketConfig, TicketKey, TicketTable};
 use snipehollow_core::time::Timestamp;
 use snipehollow_core::trace::{Step, TraceBuffer};
-use snipehollow_wire::admin::{GateState, RouteState};
+use snipehollow_wire::admin::{Announcement, GateState, RouteState};
 use tokio::sync::watch;
 
 use super::caller_retries::CallerRetryTable;
@@ -87,6 +87,12 @@
     pub(super) shedding: SheddingTable,
     /// Upstreams that announced their departure recently.
     pub(super) departures: Departures,
+    /// Whether the departures that were acknowledged before this process started are known.
+    pub(super) departures_known: bool,
+    /// Newest announcement that waits for them.
+    pub(super) held_announcement: Option<Announcement>,
+    /// Departures that have to be saved for the time after a restart.
+    pub(super) unsaved_departures: Vec<RecordedDeparture>,
     router: Router,
     /// What upstreams said about themselves, by host.
     pub(super) upstream_statuses: UpstreamStatuses,
@@ -141,6 +147,9 @@
             retry_budget: RetryBudget::new(),
             shedding: SheddingTable::default(),
             departures: Departures::default(),
+            departures_known: true,
+            held_announcement: None,
+            unsaved_departures: Vec::new(),
             router: Router::new(router_config, link),
             upstream_statuses: UpstreamStatuses::default(),
             spent_budgets: FastMap::default(),
@@ -338,6 +347,7 @@
     /// upstream whose announcement was not renewed. Also updates the shedding level.
     pub(crate) fn tick(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
+        self.expire_hold(now);
         let gate = self.upstream.as_ref().map(|upstream| &upstream.gate);
         let (slots, wait) =
             gate.map_or((1, Duration::ZERO), |gate| (gate.capacity(), gate.expected_wait()));
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -12,7 +12,7 @@
 use snipehollow_core::ids::{
     CallerKey, ClassName, Fingerprint, InstanceId, RequestId, ServiceName,
 };
-use snipehollow_core::membership::{UpstreamInfo, UpstreamState};
+use snipehollow_core::membership::{RecordedDeparture, UpstreamInfo, UpstreamState};
 use snipehollow_core::reason::Reason;
 use snipehollow_core::retry::Allowance;
 use snipehollow_core::ticket::{ProcessStartId, TicketKey};
@@ -20,6 +20,7 @@
 use snipehollow_wire::admin::Announcement;
 
 use super::{Admission, HostState};
+use crate::clock::unix_millis;
 use crate::traffic::Call;
 
 const SETTINGS: &str = "[host]\nname = h1\nzone = z1\nregion = r1\n[listen]\n\
@@ -146,3 +147,59 @@
     host.handle_announcement(now, &restarted);
     assert_eq!(host.unavailability(now, &service()), None, "a later process is used again");
 }
+
+/// Returns a node that has just started and does not know earlier departures yet.
+fn restarted_host() -> HostState {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+    host.await_departures();
+    host
+}
+
+/// Guards against requests to an instance whose departure was acknowledged before a restart, in the
+/// time until the departures have been read.
+#[test]
+fn announcement_waits_until_earlier_departures_are_known() {
+    let now = Timestamp::from_millis(1);
+    let serving = announcement(7, UpstreamState::Serving);
+    let mut host = restarted_host();
+    host.handle_announcement(now, &serving);
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::NoUpstream));
+    host.restore_departures(now, Vec::new());
+    assert_eq!(host.unavailability(now, &service()), None, "there was no departure");
+
+    let mut host = restarted_host();
+    host.handle_announcement(now, &serving);
+    let departure = RecordedDeparture {
+        instance: InstanceId::new("i-1").unwrap(),
+        start: Some(1),
+        sequence: None,
+        unix_ms: unix_millis(),
+    };
+    host.restore_departures(now, vec![departure]);
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::Leaving));
+}
+
+/// Guards against an upstream that stays unused because the departures cannot be read: a health check
+/// or an announcement that must be recent shows that it serves.
+#[test]
+fn upstream_is_used_though_earlier_departures_stay_unknown() {
+    let now = Timestamp::from_millis(1);
+    let mut host = restarted_host();
+    host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+    let discovered =
+        Announcement { start: UNKNOWN_PROCESS_START, ..announcement(0, UpstreamState::Serving) };
+    host.handle_announcement(now, &discovered);
+    host.apply_held_announcement(now);
+    assert_eq!(host.unavailability(now, &service()), None);
+    host.handle_announcement(now, &announcement(8, UpstreamState::Serving));
+    assert_eq!(host.unavailability(now, &service()), None);
+
+    let mut host = restarted_host();
+    let late = Timestamp::from_millis(10_000);
+    host.handle_announcement(late, &announcement(7, UpstreamState::Serving));
+    host.tick(late);
+    assert_eq!(host.unavailability(late, &service()), Some(Reason::NoUpstream), "may be old");
+    host.handle_announcement(late, &announcement(8, UpstreamState::Serving));
+    assert_eq!(host.unavailability(late, &service()), None);
+}
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -24,6 +24,8 @@
     pub(crate) instance: Option<InstanceId>,
     /// Whether the process said in a response or by its departure that it is leaving.
     pub(crate) said_leaving: bool,
+    /// Whether the departure of the process was queued to be saved.
+    pub(crate) departure_saved: bool,
     /// Sequence number of the newest announcement; 0 if announcements are not numbered.
     sequence: u64,
     /// Time at which the announcement expires unless it is renewed.
@@ -44,6 +46,7 @@
             start: announcement.start,
             instance: announcement.instance.clone(),
             said_leaving: false,
+            departure_saved: false,
             sequence: announcement.sequence,
             expires: now + ttl(announcement),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod clock;
 mod control;
 mod daemon;
+mod departures;
 mod error;
 mod host;
 mod logging;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -71,7 +71,10 @@
         }
         let seed = random_u64()?;
         let control = ControlState::new(&settings, Incarnation(unix_millis()), seed);
-        let host = new_host_state(&settings)?;
+        let mut host = new_host_state(&settings)?;
+        if adapters.store.is_some() {
+            host.await_departures();
+        }
         let configured_service = ArcSwap::from_pointee(settings.service.clone());
         Ok(Shared {
             configured_service,
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -12,8 +12,8 @@
 use snipehollow_config::model::{ConfigDelta, ConfigState, Head};
 use snipehollow_store::{
     ConfigFeed, ConfigSnapshot, ConfigSource, Cursor, FeedEvent, LoadError, RepairAction, SeedList,
-    StoreError, Version, load_all_seeds, load_delta, load_head, publish_seeds, recommit_head,
-    repair_action, watch_head, write_back_config,
+    StoreError, Version, load_all_seeds, load_delta, load_departures, load_head, publish_seeds,
+    recommit_head, repair_action, watch_head, write_back_config,
 };
 
 use crate::NodeError;
@@ -76,6 +76,8 @@
     backoff: Duration,
     /// Whether this process has read the configuration once.
     config_was_read: bool,
+    /// Whether this process has read the departures of its upstreams.
+    departures_were_read: bool,
     next_seed_refresh: Instant,
     /// Number of successful seed refreshes.
     seed_reads: u32,
@@ -92,6 +94,7 @@
             seeds_era: 0,
             backoff: INITIAL_BACKOFF,
             config_was_read: false,
+            departures_were_read: false,
             next_seed_refresh: Instant::now(),
             seed_reads: 0,
         }
@@ -101,6 +104,9 @@
         if Instant::now() >= self.next_seed_refresh || self.may_have_lost_seeds() {
             self.refresh_seeds();
         }
+        if !self.departures_were_read {
+            self.read_departures();
+        }
         let is_watcher = self.shared.control().is_watcher();
         if is_watcher || !self.config_was_read {
             match self.shared.adapters.config.clone() {
@@ -176,6 +182,27 @@
         }
     }
 
+    /// Reads the departures that were acknowledged on this host before this process started.
+    fn read_departures(&mut self) {
+        self.shared.metrics.store_calls.inc();
+        let departures = match load_departures(&*self.store, &self.shared.settings.host) {
+            Ok(departures) => departures,
+            Err(err @ StoreError::Malformed { .. }) => {
+                log::warn!("malformed departures ignored: {err}");
+                Vec::new()
+            }
+            Err(err) => return self.record_failure(&err),
+        };
+        self.record_success();
+        self.departures_were_read = true;
+        if !departures.is_empty() {
+            log::info!(departures = departures.len(); "earlier departures of upstreams restored");
+        }
+        let now = self.shared.clock.now();
+        let info = self.shared.host().restore_departures(now, departures);
+        self.shared.control().set_upstream(now, info);
+    }
+
     /// Waits for the next configuration of the feed and applies it.
     fn follow_feed(&mut self, feed: &dyn ConfigFeed) {
         self.shared.metrics.store_calls.inc();
--- a/crates/node/src/traffic/upstream_listener.rs
+++ b/crates/node/src/traffic/upstream_listener.rs
@@ -12,7 +12,9 @@
 
 use super::TrafficContext;
 use super::request::{BodyLimits, read_body};
+use super::upstream_probe::confirm_held_announcement;
 use crate::adapters::{NoticeError, UpstreamNotice};
+use crate::departures;
 use crate::shared::Shared;
 
 /// Maximum size of an announcement; a usual one has a few hundred bytes.
@@ -44,6 +46,10 @@
         }
         Ok(notice) => {
             apply_notice(shared, notice);
+            departures::save(shared).await;
+            if shared.host().holds_announcement() {
+                tokio::spawn(confirm_held_announcement(traffic.clone()));
+            }
             let (body, content_type) = shared.adapters.protocol.acknowledgement();
             let mut response = plain(StatusCode::OK, body);
             response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -26,6 +26,9 @@
 const PROBE_PERIOD: Duration = Duration::from_secs(3);
 /// Interval between probes, and between checks for a configuration that does not exist yet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before a held announcement is confirmed by a health check. Usually the earlier departures are
+/// read within it.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(300);
 /// Time limit for a health check; a busy upstream makes it wait for a slot.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of health checks per process start.
@@ -54,8 +57,7 @@
         }
         if let Some(target) = ProbeTarget::of(&traffic) {
             probes += 1;
-            if let Some(found) = probe(&traffic, addr, &target.health_path).await {
-                announce_discovered(&traffic, addr, found, &target);
+            if probe_and_announce(&traffic, addr, &target).await {
                 return;
             }
         }
@@ -63,6 +65,33 @@
     }
 }
 
+/// Probes the local upstream once if its announcement is still held after a moment, because the store
+/// is out of reach.
+pub(super) async fn confirm_held_announcement(traffic: TrafficContext) {
+    tokio::time::sleep(CONFIRMATION_DELAY).await;
+    if !traffic.shared.host().holds_announcement() {
+        return;
+    }
+    let addr = traffic.shared.settings.upstream_addr;
+    if let (Some(addr), Some(target)) = (addr, ProbeTarget::of(&traffic)) {
+        probe_and_announce(&traffic, addr, &target).await;
+    }
+}
+
+/// Probes the upstream, and announces it if it responds as serving; returns whether it does.
+async fn probe_and_announce(
+    traffic: &TrafficContext,
+    addr: SocketAddr,
+    target: &ProbeTarget,
+) -> bool {
+    let found = probe(traffic, addr, &target.health_path).await;
+    let is_serving = found.is_some();
+    if let Some(found) = found {
+        announce_discovered(traffic, addr, found, target);
+    }
+    is_serving
+}
+
 /// Configuration of the local upstream that the probe needs.
 struct ProbeTarget {
     service: ServiceName,
@@ -151,7 +180,8 @@
         if host.has_upstream() {
             return;
         }
-        let info = host.handle_announcement(now, &announcement);
+        host.handle_announcement(now, &announcement);
+        let info = host.apply_held_announcement(now);
         if let RateSignal::Named(limit) = found.rate {
             host.record_rate_limit(now, limit);
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 //! | `config/section/DIGEST` | one immutable section | the command line |
 //! | `config/index/DIGEST` | immutable list of all sections at one revision | the command line |
 //! | `seeds/ZONE` | a few control addresses of one zone | two members of the zone |
+//! | `departures/HOST` | recent departures of the upstreams of one host | the node of the host |
 //!
 //! Nodes write the configuration's keys only to repair a store that lost data.
 //!
@@ -14,6 +15,7 @@
 
 mod client;
 mod commit;
+mod departures;
 mod error;
 mod feed;
 mod load;
@@ -21,6 +23,7 @@
 
 pub use client::{HttpStore, KeyValue, KvStore, Version, Versioned};
 pub use commit::{Commit, CommitError, commit_sections, load_config};
+pub use departures::{add_departures, load_departures};
 pub use error::StoreError;
 pub use feed::{ConfigFeed, ConfigSnapshot, ConfigSource, Cursor, FeedEvent};
 pub use load::{
