--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -16,6 +16,7 @@
 mod rendezvous;
 mod swim;
 mod sync;
+mod watch_order;
 
 pub use action::{MemberAction, ProbeId};
 pub use config::MembershipConfig;
@@ -31,3 +32,4 @@
 pub use rendezvous::rank_by_rendezvous;
 pub use swim::Membership;
 pub use sync::{BUCKET_COUNT, BucketDigests, SyncResponse};
+pub use watch_order::{Predecessor, WatchOrder};
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -9,7 +9,8 @@
 use snipehollow_core::ids::{HostName, Incarnation, RegionName, ServiceName, ZoneName};
 use snipehollow_core::membership::{
     Directory, DirectoryConfig, DirectoryQuery, DirectoryResponse, GossipItem, GossipMessage,
-    HostInfo, MemberUpdate, Membership, MembershipConfig, UpstreamInfo,
+    HostInfo, MemberUpdate, Membership, MembershipConfig, Predecessor, ProbeId, UpstreamInfo,
+    WatchOrder,
 };
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::Candidate;
@@ -18,8 +19,6 @@
 
 use crate::snapshot::Snapshot;
 
-/// Number of members of a zone that watch the head of the configuration.
-const WATCHERS: usize = 2;
 /// Number of members of a zone that write its seeds to the store.
 const SEED_WRITERS: usize = 2;
 /// Maximum number of members that are listed as seeds of their zone, or as contacts for other
@@ -31,6 +30,7 @@
     pub(crate) membership: Membership,
     pub(crate) directory: Directory,
     pub(crate) rng: Rng,
+    watch_order: WatchOrder,
     config: ConfigState,
     /// Configuration in force, in the form that snapshots share.
     current_config: Arc<Config>,
@@ -84,6 +84,7 @@
             membership,
             directory,
             rng: Rng::new(seed),
+            watch_order: WatchOrder::default(),
             config: ConfigState::new(),
             current_config: Arc::default(),
             snapshot_version: None,
@@ -149,26 +150,50 @@
         now: Timestamp,
         message: &GossipMessage,
     ) -> Vec<GossipItem> {
+        self.watch_order.record_response(&message.from);
         self.membership.on_message(now, message)
     }
 
+    /// Applies the response to a direct or indirect probe; returns the same as
+    /// [`ControlState::on_message`].
+    pub(crate) fn on_probe_response(
+        &mut self,
+        now: Timestamp,
+        probe: ProbeId,
+        message: &GossipMessage,
+    ) -> Vec<GossipItem> {
+        self.watch_order.record_response(&message.from);
+        self.membership.on_probe_response(now, probe, message)
+    }
+
     /// Returns the state of this node as a member.
     pub(crate) fn own_update(&self) -> Option<MemberUpdate> {
         self.membership.get(self.membership.host()).map(|member| member.update.clone())
     }
 
-    /// Returns whether this node watches the head of the configuration for its zone.
-    pub(crate) fn is_watcher(&self) -> bool {
-        self.is_selected_for("watch", WATCHERS)
+    /// Returns whether this node watches the configuration for its zone.
+    pub(crate) fn is_watcher(&mut self) -> bool {
+        self.watch_order.is_watcher(&self.membership)
     }
 
-    /// Returns whether this node writes the seeds of its zone to the store.
-    pub(crate) fn is_seed_writer(&self) -> bool {
-        self.is_selected_for("seed-writer", SEED_WRITERS)
+    /// Returns up to `count` members whose place as watcher this node may have to take; see
+    /// [`WatchOrder::predecessors`].
+    pub(crate) fn watch_predecessors(&mut self, count: usize) -> Vec<Predecessor> {
+        self.watch_order.predecessors(&self.membership, count)
+    }
+
+    /// Records that a member ahead of this node in the order of the watchers does not respond.
+    pub(crate) fn record_unresponsive(&mut self, host: &HostName) {
+        if self.watch_order.record_failure(host) {
+            let is_watcher = self.is_watcher();
+            log::info!(host = host.as_str(), is_watcher; "member ahead in the order of watchers does not respond");
+        }
     }
 
-    fn is_selected_for(&self, key: &str, count: usize) -> bool {
-        self.membership.select_by_rendezvous(key, count).contains(&self.membership.host())
+    /// Returns whether this node writes the seeds of its zone to the store.
+    pub(crate) fn is_seed_writer(&self) -> bool {
+        let writers = self.membership.select_by_rendezvous("seed-writer", SEED_WRITERS);
+        writers.contains(&self.membership.host())
     }
 
     /// Adds the seeds of a zone: to the membership for the own zone, otherwise as contacts of the
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -16,6 +16,8 @@
     self, ConfigNotification, ConfigNotificationResponse, ConfigRequest, ConfigResponse,
     DirectoryRequest, ProbeRequest, ProbeViaRequest, SyncRequest,
 };
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use super::rpc_client::{RpcError, call};
 use super::rpc_server;
@@ -31,6 +33,15 @@
 const MEMBER_FAN_OUT: usize = 3;
 /// Number of members of each other zone that each watcher notifies of a new revision immediately.
 const ZONE_FAN_OUT: usize = 2;
+/// Time limit for the response of a member of the zone, as for the probes of the membership.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of members that are tried, one after the other, for each notification.
+const NOTIFICATION_ATTEMPTS: usize = 4;
+/// Ticks between two checks of the member before this node in the order of the watchers. With the
+/// time limits of two checks, the watchers are replaced within 1.2 s.
+const WATCH_CHECK_TICKS: u64 = 5;
+/// Number of members that are checked at once after one did not respond.
+const WATCH_CHECK_FAN_OUT: usize = 16;
 /// Ticks between two pulls of the configuration from another zone by a watcher.
 const ZONE_PULL_TICKS: u64 = 50;
 /// Ticks between two such pulls while the watcher cannot reach the store or no configuration is in
@@ -96,6 +107,9 @@
     if ticks.is_multiple_of(pull_ticks) {
         pull_from_remote_zone(shared);
     }
+    if ticks.is_multiple_of(WATCH_CHECK_TICKS) {
+        tokio::spawn(check_watch_predecessors(Arc::clone(shared)));
+    }
     publish_snapshot(shared);
     notify_members(shared);
 }
@@ -203,7 +217,7 @@
     let now = shared.clock.now();
     match response {
         Ok(message) => {
-            let others = shared.control().membership.on_probe_response(now, probe, &message);
+            let others = shared.control().on_probe_response(now, probe, &message);
             rpc_server::apply_gossip_items(shared, others);
             catch_up_with_sender(shared, &message);
         }
@@ -370,7 +384,7 @@
         (members, contacts, control.config().revision())
     };
     for to in members {
-        tokio::spawn(gossip_to_member(Arc::clone(shared), to));
+        tokio::spawn(notify_member(Arc::clone(shared), to));
     }
     for to in contacts {
         tokio::spawn(notify_zone(Arc::clone(shared), to, revision));
@@ -388,12 +402,69 @@
     }
 }
 
-async fn gossip_to_member(shared: Arc<Shared>, to: SocketAddr) {
+/// Notifies a member of the revision in force, or another one if it does not respond: many members
+/// may have died just now.
+async fn notify_member(shared: Arc<Shared>, first: SocketAddr) {
+    let mut to = first;
+    for _ in 0..NOTIFICATION_ATTEMPTS {
+        if gossip_to_member(&shared, to).await {
+            return;
+        }
+        let other = {
+            let mut guard = shared.control();
+            let control = &mut *guard;
+            control.membership.random_live(&mut control.rng, 1).pop()
+        };
+        let Some(other) = other else {
+            return;
+        };
+        to = other;
+    }
+}
+
+/// Exchanges gossip with a member of the zone; returns whether it responded in time.
+async fn gossip_to_member(shared: &Arc<Shared>, to: SocketAddr) -> bool {
     let message = shared.control().gossip_message();
-    let response: Result<GossipMessage, RpcError> =
-        call(&shared, to, control::PROBE, ProbeRequest { message }).await;
-    if let Ok(message) = response {
-        rpc_server::apply_gossip(&shared, &message);
+    let response = call(shared, to, control::PROBE, ProbeRequest { message });
+    match timeout(MEMBER_TIMEOUT, response).await {
+        Ok(Ok(message)) => {
+            rpc_server::apply_gossip(shared, &message);
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Checks the member before this node in the order of the watchers and, if it does not respond, those
+/// further ahead, until one responds or this node is a watcher itself.
+async fn check_watch_predecessors(shared: Arc<Shared>) {
+    let mut count = 1;
+    loop {
+        let ahead = shared.control().watch_predecessors(count);
+        if ahead.is_empty() {
+            return;
+        }
+        let mut checks: JoinSet<bool> = ahead
+            .into_iter()
+            .map(|member| {
+                let shared = Arc::clone(&shared);
+                async move {
+                    let responded = gossip_to_member(&shared, member.control).await;
+                    if !responded {
+                        shared.control().record_unresponsive(&member.host);
+                    }
+                    responded
+                }
+            })
+            .collect();
+        let mut responded = false;
+        while let Some(result) = checks.join_next().await {
+            responded |= result.unwrap_or(false);
+        }
+        if responded {
+            return;
+        }
+        count = WATCH_CHECK_FAN_OUT;
     }
 }
 
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -1,7 +1,10 @@
 //! Configuration changes: each is accepted once, takes effect on every node and never reverts.
 
 use std::thread;
+use std::time::Duration;
 
+use snipehollow_core::ids::HostName;
+use snipehollow_core::membership::rank_by_rendezvous;
 use snipehollow_standins::store::Faults;
 
 use crate::support::{Caller, LIMIT, SHEET, small_mesh};
@@ -11,6 +14,42 @@
     SHEET.replace("class,read,1,8000", &format!("class,read,1,{deadline_ms}"))
 }
 
+/// Maximum duration of one watch of the store.
+const WATCH_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time within which a change must be in force at every node in reach of the store.
+const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Guards against survivors that use an older configuration until the membership has declared dead
+/// the members that watched the store for them, all of which were lost at once.
+#[test]
+fn change_is_in_force_in_time_though_all_watchers_were_lost() {
+    let mut mesh = small_mesh();
+    // Watches that nodes began before they knew each other have ended.
+    thread::sleep(WATCH_LIMIT);
+    let hosts = mesh.plan.hosts.clone();
+    let mut survivors = Vec::new();
+    for zone in ["zone-a", "zone-b"] {
+        let in_zone: Vec<usize> = (0..hosts.len()).filter(|i| hosts[*i].zone == zone).collect();
+        let names: Vec<HostName> =
+            in_zone.iter().map(|i| HostName::new(&hosts[*i].name).unwrap()).collect();
+        let watchers = rank_by_rendezvous("watch", names.iter(), 2);
+        for i in in_zone {
+            if watchers.iter().any(|host| host.as_str() == hosts[i].name) {
+                mesh.kill_host(i);
+            } else {
+                survivors.push(hosts[i].clone());
+            }
+        }
+    }
+    assert_eq!(survivors.len(), 4);
+    let output = mesh.apply_sheet(&sheet_with_read_deadline(7_000)).unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    mesh.wait_until("the change is in force at the survivors", IN_FORCE_LIMIT, || {
+        survivors.iter().all(|host| mesh.state(host).is_ok_and(|state| state.revision == 2))
+    })
+    .unwrap();
+}
+
 /// Guards against a revision that is committed but does not reach every node, or a `--wait` that
 /// reports success before it does.
 #[test]
