A response without length is incomplete if its upstream died

Cause: the system of a process that dies closes its connections in an orderly way, and the end of the connection was all that the node looked at.

Change: after such a response the gate opens a connection to its upstream; if that is refused, the response is incomplete, unless the upstream is leaving and may have ended after it. A connection that was opened carries the next request, so none is wasted.

--- a/crates/node/src/host/signals.rs
+++ b/crates/node/src/host/signals.rs
@@ -87,6 +87,12 @@
         })
     }
 
+    /// Returns whether the process that a try was sent to is leaving.
+    pub(crate) fn is_leaving(&self, started: &StartedTry) -> bool {
+        let upstream = self.upstream.as_ref().filter(|upstream| upstream.received(started));
+        upstream.is_some_and(|upstream| upstream.gate.is_leaving())
+    }
+
     /// Adopts what an entry node knows about the local upstream, if this node does not know it
     /// itself, for example because it was restarted.
     ///
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -24,6 +24,9 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) proof: Dispatched,
+    /// Whether the response shows its own end, by a length or by its encoding. Otherwise the end of
+    /// the connection is all that ends it.
+    pub(crate) is_framed: bool,
     /// Connection that may carry another request; `None` if the other end closes it.
     pub(crate) connection: Option<Connection>,
 }
@@ -108,7 +111,8 @@
                     Ok(Err(ReadError::TooLarge)) => Err(ExchangeError::TooLarge(proof)),
                     Ok(Ok((status, headers, body))) => {
                         let connection = (!closes_connection(&headers)).then_some(connection);
-                        Ok(BufferedResponse { status, headers, body, proof, connection })
+                        let is_framed = is_framed(&method, status, &headers);
+                        Ok(BufferedResponse { status, headers, body, proof, is_framed, connection })
                     }
                 };
             }
--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout_at;
 
 use super::exchange::{BufferedResponse, ExchangeError, ExchangeOptions, NotSentCause, exchange};
+use super::liveness::{check_end, detect_upstream_death};
 use super::pool::Reuse;
 use super::try_guard::TryGuard;
 use super::{Call, NodeResponse, TrafficContext};
@@ -30,8 +31,6 @@
 /// How long after the deadline the node still waits for the response to a ticketed run, so that a
 /// caller retry learns the outcome of the request.
 const TICKETED_RUN_GRACE: Duration = Duration::from_secs(30);
-/// Time limit for opening the connection that checks whether the upstream is alive.
-const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs one try at the local gate and adds to the response what the gate reports to entry nodes.
 ///
@@ -343,7 +342,7 @@
     result: Result<BufferedResponse, ExchangeError>,
     mut guard: TryGuard,
 ) -> NodeResponse {
-    let (completion, mut response) = match result {
+    let (completion, mut response) = match check_end(traffic, started, result).await {
         Ok(buffered) => classify_response(traffic, call, started, guard.started, buffered),
         Err(err) => classify_failure(traffic, started.addr, err).await,
     };
@@ -480,28 +479,6 @@
     (Completion::Failed, response)
 }
 
-/// Returns whether the upstream died, which is assumed if it no longer accepts connections.
-///
-/// Its death is recorded before the current try ends, while all its tries still count as in
-/// flight, so that the quarantine considers each of their requests as the cause.
-async fn detect_upstream_death(traffic: &TrafficContext, addr: SocketAddr) -> bool {
-    let connect = tokio::net::TcpStream::connect(addr);
-    let alive = matches!(tokio::time::timeout(LIVENESS_CHECK_TIMEOUT, connect).await, Ok(Ok(_)));
-    if alive {
-        return false;
-    }
-    let now = traffic.shared.clock.now();
-    let info = {
-        let mut host = traffic.shared.host();
-        if host.has_upstream_at(addr) {
-            host.remove_upstream(now);
-        }
-        host.upstream_info(now)
-    };
-    traffic.shared.control().set_upstream(now, info);
-    true
-}
-
 fn record_step(
     traffic: &TrafficContext,
     host: &mut HostState,
--- /dev/null
+++ b/crates/node/src/traffic/liveness.rs
@@ -0,0 +1,63 @@
+//! Checks whether the local upstream is still alive.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::TrafficContext;
+use super::exchange::{BufferedResponse, ExchangeError};
+use crate::host::StartedTry;
+
+/// Time limit for opening the connection that checks whether the upstream is alive.
+const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Checks a response that ends with its connection: the system closes the connections of a process
+/// that died as if the response were complete.
+///
+/// It counts as incomplete if its upstream refuses connections, unless that is leaving and may have
+/// ended after it. An upstream that is alive accepts a connection, which the next request uses.
+pub(super) async fn check_end(
+    traffic: &TrafficContext,
+    started: &StartedTry,
+    result: Result<BufferedResponse, ExchangeError>,
+) -> Result<BufferedResponse, ExchangeError> {
+    let buffered = result?;
+    if buffered.is_framed || traffic.shared.host().is_leaving(started) {
+        return Ok(buffered);
+    }
+    match traffic.pool.connect(started.addr).await {
+        Ok(connection) => traffic.pool.return_connection(connection),
+        Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
+            log::warn!(
+                addr = started.addr.to_string(), bytes = buffered.body.len();
+                "response without length discarded, its upstream died"
+            );
+            return Err(ExchangeError::Incomplete(buffered.proof));
+        }
+        // An upstream that is slow to accept connections did not die.
+        Err(_) => {}
+    }
+    Ok(buffered)
+}
+
+/// Returns whether the upstream died, which is assumed if it no longer accepts connections.
+///
+/// Its death is recorded before the current try ends, while all its tries still count as in
+/// flight, so that the quarantine considers each of their requests as the cause.
+pub(super) async fn detect_upstream_death(traffic: &TrafficContext, addr: SocketAddr) -> bool {
+    let connect = tokio::net::TcpStream::connect(addr);
+    let alive = matches!(tokio::time::timeout(LIVENESS_CHECK_TIMEOUT, connect).await, Ok(Ok(_)));
+    if alive {
+        return false;
+    }
+    let now = traffic.shared.clock.now();
+    let info = {
+        let mut host = traffic.shared.host();
+        if host.has_upstream_at(addr) {
+            host.remove_upstream(now);
+        }
+        host.upstream_info(now)
+    };
+    traffic.shared.control().set_upstream(now, info);
+    true
+}
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod held_bytes;
 mod in_progress;
+mod liveness;
 mod peer_client;
 mod peer_listener;
 mod pool;
