--- a/crates/core/src/membership/departures.rs
+++ b/crates/core/src/membership/departures.rs
@@ -77,7 +77,7 @@
     }
 
     /// Records a departure that was stored earlier, unless it has expired by the Unix time
-    /// `unix_ms`, in milliseconds.
+    /// `unix_ms`, in milliseconds, or a later one of the same instance is known.
     pub fn restore(&mut self, now: Timestamp, recorded: RecordedDeparture, unix_ms: u64) {
         let Some(left) = recorded.time_left(unix_ms) else {
             return;
@@ -88,6 +88,10 @@
                 self.by_instance.iter().min_by_key(|(_, d)| d.expires).map(|(id, _)| id.clone());
             oldest.map(|id| self.by_instance.remove(&id));
         }
+        let known = self.by_instance.get(&recorded.instance);
+        if known.is_some_and(|known| known.recorded.unix_ms > recorded.unix_ms) {
+            return;
+        }
         let instance = recorded.instance.clone();
         self.by_instance.insert(instance, Departure { recorded, expires: now + left });
     }
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -65,6 +65,10 @@
     // The departure was 2 s ago, so it expires 28 s from now.
     assert!(last.has_departed(Timestamp::from_millis(27_999), &id("i-1"), 2_000, 1));
     assert!(!last.has_departed(Timestamp::from_millis(28_000), &id("i-1"), 2_000, 1));
+    let mut later = Departures::default();
+    later.record(now, &id("i-1"), Some(3_000), 11_000);
+    later.restore(now, recorded(Some(2_000), None), 12_000);
+    assert!(later.has_departed(now, &id("i-1"), 3_000, 1), "a later one is known");
     let expired = restored(recorded(None, None), 40_000);
     assert!(!expired.has_departed(now, &id("i-1"), 2_000, 1));
 }
