Crash check of responses without length: the listener may outlive the connection

Cause: the system closes the connections of a dying process before its listener at times, so the connection that the check opened was accepted, and closed a moment later.

Change: a connection counts as a sign of life only if it is still open after 10 ms; if it was closed, a second one is opened. Only responses that end with their connection wait for it.

--- a/crates/node/src/traffic/liveness.rs
+++ b/crates/node/src/traffic/liveness.rs
@@ -8,6 +8,11 @@
 use super::exchange::{BufferedResponse, ExchangeError};
 use crate::host::StartedTry;
 
+/// How long the listener of a process that died may outlive its connections. Until then it accepts
+/// connections, which are then closed.
+const LISTENER_END_TIME: Duration = Duration::from_millis(10);
+/// Maximum number of connections that are opened until one stays open or is refused.
+const MAX_CONNECTS: u32 = 2;
 /// Time limit for opening the connection that checks whether the upstream is alive.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -25,21 +30,34 @@
     if buffered.is_framed || traffic.shared.host().is_leaving(started) {
         return Ok(buffered);
     }
-    match traffic.pool.connect(started.addr).await {
-        Ok(connection) => traffic.pool.return_connection(connection),
-        Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
-            log::warn!(
-                addr = started.addr.to_string(), bytes = buffered.body.len();
-                "response without length discarded, its upstream died"
-            );
-            return Err(ExchangeError::Incomplete(buffered.proof));
-        }
-        // An upstream that is slow to accept connections did not die.
-        Err(_) => {}
+    if refuses_connections(traffic, started.addr).await {
+        log::warn!(
+            addr = started.addr.to_string(), bytes = buffered.body.len();
+            "response without length discarded, its upstream died"
+        );
+        return Err(ExchangeError::Incomplete(buffered.proof));
     }
     Ok(buffered)
 }
 
+/// Returns whether the upstream refuses connections, in contrast to one that is slow to accept them or
+/// closes them. A connection that stays open carries the next request.
+async fn refuses_connections(traffic: &TrafficContext, addr: SocketAddr) -> bool {
+    for _ in 0..MAX_CONNECTS {
+        match traffic.pool.connect(addr).await {
+            Ok(connection) => {
+                tokio::time::sleep(LISTENER_END_TIME).await;
+                if !connection.is_closed() {
+                    traffic.pool.return_connection(connection);
+                    return false;
+                }
+            }
+            Err(err) => return err.kind() == ErrorKind::ConnectionRefused,
+        }
+    }
+    false
+}
+
 /// Returns whether the upstream died, which is assumed if it no longer accepts connections.
 ///
 /// Its death is recorded before the current try ends, while all its tries still count as in
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -144,7 +144,7 @@
 
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn return_connection(&self, connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return;
         }
         let mut idle = self.lock();
@@ -159,7 +159,7 @@
         let mut idle = self.lock();
         for list in idle.values_mut() {
             list.retain(|entry| {
-                !entry.connection.sender.is_closed() && entry.idle_since.elapsed() < MAX_IDLE_TIME
+                !entry.connection.is_closed() && entry.idle_since.elapsed() < MAX_IDLE_TIME
             });
         }
         idle.retain(|_, list| !list.is_empty());
@@ -172,6 +172,11 @@
 }
 
 impl Connection {
+    /// Returns whether the other end has closed the connection.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and returns the response as soon as its head has arrived.
     pub(crate) async fn send(
         &mut self,
