--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -89,18 +89,28 @@
 rule,,,,,orders,*,/,read\n\
 rule,,,,,pricing,*,/,read\n";
 
-/// Guards against requests that wait for a slot of another host, and are cut off without an answer
-/// when their entry node ends.
-#[test]
-fn requests_that_wait_at_another_host_are_answered_before_their_entry_node_ends() {
-    let services =
-        vec![ServicePlan::new("orders", 1, 4, 1), ServicePlan::new("pricing", 1, 4, 700)];
+/// Starts a mesh of two hosts with these lines in section `[run]`, and returns it with the index of the
+/// host that does not run `pricing`, whose callers' requests for it go to the other host.
+fn mesh_with_entry_node(pricing: ServicePlan, run_settings: &str) -> (Mesh, usize) {
+    let services = vec![ServicePlan::new("orders", 1, 4, 1), pricing];
     let mut plan = MeshPlan::new(&[("zone-a", "region-a")], services);
-    plan.run_settings.push_str("drain_ms = 4000\nleave_notice_ms = 2500\nadmission = slots\n");
-    let mut mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
+    plan.run_settings.push_str(run_settings);
+    plan.run_settings.push_str("admission = slots\n");
+    let mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
     assert!(mesh.apply_sheet(SHEET_OF_BOTH).unwrap().status.success());
     mesh.wait_ready(1).unwrap();
     let entry = mesh.plan.hosts.iter().position(|host| host.name == "orders-1").unwrap();
+    (mesh, entry)
+}
+
+/// Guards against requests that wait for a slot of another host, and are cut off without an answer
+/// when their entry node ends.
+#[test]
+fn requests_that_wait_at_another_host_are_answered_before_their_entry_node_ends() {
+    let (mut mesh, entry) = mesh_with_entry_node(
+        ServicePlan::new("pricing", 1, 4, 700),
+        "drain_ms = 4000\nleave_notice_ms = 2500\n",
+    );
     let to = mesh.plan.hosts[entry].caller_addr();
     // The gate learns how long a request takes.
     assert!(Caller::new().get(to, "/pricing/quote").is_ok());
@@ -125,14 +135,10 @@
 /// the node runs, and that is cut off when the node ends.
 #[test]
 fn late_request_that_outlasts_its_stopping_entry_node_is_refused() {
-    let services =
-        vec![ServicePlan::new("orders", 1, 4, 1), ServicePlan::new("pricing", 1, 8, 900)];
-    let mut plan = MeshPlan::new(&[("zone-a", "region-a")], services);
-    plan.run_settings.push_str("drain_ms = 3000\nleave_notice_ms = 2800\nadmission = slots\n");
-    let mut mesh = Mesh::start(plan, &Mesh::find_bin_dir().unwrap()).unwrap();
-    assert!(mesh.apply_sheet(SHEET_OF_BOTH).unwrap().status.success());
-    mesh.wait_ready(1).unwrap();
-    let entry = mesh.plan.hosts.iter().position(|host| host.name == "orders-1").unwrap();
+    let (mut mesh, entry) = mesh_with_entry_node(
+        ServicePlan::new("pricing", 1, 8, 900),
+        "drain_ms = 3000\nleave_notice_ms = 2800\n",
+    );
     let to = mesh.plan.hosts[entry].caller_addr();
     assert!(Caller::new().get(to, "/pricing/quote").is_ok());
     mesh.node(entry).unwrap().signal(Signal::TERM);
