--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -36,18 +36,19 @@
         routes: &[Route],
         record: &Record,
     ) -> io::Result<Deployment> {
-        let store_addr = free(Ipv4Addr::new(127, 39, 0, 1))?;
         let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let mut zones: Vec<(String, String)> =
             machines.iter().map(|m| (m.zone.clone(), m.region.clone())).collect();
         zones.sort();
         zones.dedup();
-        let store = Store::start(store_addr)?;
+        let store = Store::default();
         store.put_config(&document(1, routes, machines));
         let nodes = Vec::new();
         let mut deployment = Deployment { store, nodes, record: record.clone(), dir };
         for machine in machines {
+            let store_addr = free(Ipv4Addr::new(127, 39, 0, 1))?;
+            deployment.store.listen(store_addr, &machine.name)?;
             let node = Node::start(machine, &zones, store_addr, &deployment.dir, record)?;
             deployment.nodes.push(node);
         }
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -161,7 +161,7 @@
             return connection.respond("421 Misdirected Request", &[id_header[0], id_echo], b"");
         }
         let deadline = request.header("snipehollow-deadline-ms").unwrap_or("none");
-        self.record.line(&format!("instance {} runs {id}, deadline {deadline} ms", self.id));
+        self.record.line(&format!("instance {} gets {id}, deadline {deadline} ms", self.id));
         self.arrivals.lock().unwrap().push(self.record.now());
         work(self, request, connection)
     }
--- a/review/standin-2/instance_process.rs
+++ b/review/standin-2/instance_process.rs
@@ -4,15 +4,26 @@
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitCode, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use crate::fleet::Machine;
 use crate::http::{Connection, Message};
-use crate::instance::{Instance, SEAL, Work};
+use crate::instance::{Instance, SEAL, Work, answer};
 use crate::record::Record;
 
+/// Work of an instance that crashes when it begins to run a request with the body [`POISON`], and
+/// that sheds part of its requests in the time named by the variable [`SHED_VARIABLE`].
+pub const FRAGILE: &str = "fragile";
+pub const POISON: &str = "poison";
+/// Start and end of the shedding in milliseconds of the record, separated by a dash.
+pub const SHED_VARIABLE: &str = "REVIEW_2_SHED";
+/// Of this many requests, the number that is shed.
+const SHED_CYCLE: u64 = 20;
+const SHED_COUNT: u64 = 11;
+const WORK_TIME: Duration = Duration::from_millis(50);
+
 /// Pieces of an answer without a length, and the time between them.
 pub const PIECES: usize = 60;
 pub const PIECE_BYTES: usize = 1_000;
@@ -37,6 +48,7 @@
     let instance = Instance::new(app, control, service, zone, id, &record);
     let work: Arc<Work> = match work.as_str() {
         WITHOUT_LENGTH => Arc::new(send_without_length),
+        FRAGILE => Arc::new(run_unless_poisoned),
         _ => return ExitCode::from(2),
     };
     if instance.run(work).is_err() {
@@ -73,6 +85,41 @@
     connection.stream.shutdown(std::net::Shutdown::Both)
 }
 
+fn run_unless_poisoned(
+    instance: &Instance,
+    request: &Message,
+    connection: &mut Connection,
+) -> std::io::Result<()> {
+    if sheds(instance) {
+        let id = request.header("snipehollow-request-id").unwrap_or("");
+        instance.record.line(&format!("instance {} sheds {id}", instance.id));
+        let headers = [("Snipehollow-Request-Id", id), ("Snipehollow-Not-Executed", "1")];
+        return connection.respond("503 Service Unavailable", &headers, b"");
+    }
+    if request.body.starts_with(POISON.as_bytes()) {
+        let id = request.header("snipehollow-request-id").unwrap_or("");
+        instance.record.line(&format!("instance {} crashes-at {id}", instance.id));
+        std::process::exit(1);
+    }
+    thread::sleep(WORK_TIME);
+    answer(request, connection, &[b'x'; 600])
+}
+
+fn sheds(instance: &Instance) -> bool {
+    static REQUESTS: AtomicU64 = AtomicU64::new(0);
+    let period = std::env::var(SHED_VARIABLE).unwrap_or_default();
+    let (Some(start), Some(end)) = (
+        period.split('-').next().and_then(|text| text.parse().ok()),
+        period.split('-').nth(1).and_then(|text| text.parse().ok()),
+    ) else {
+        return false;
+    };
+    let now = instance.record.now().as_millis();
+    // A stride that has no common divisor with the cycle spreads the shed requests evenly.
+    let number = REQUESTS.fetch_add(7, Ordering::AcqRel) % SHED_CYCLE;
+    (start..end).contains(&now) && number < SHED_COUNT
+}
+
 /// Handle of the process; it is killed when dropped.
 pub struct InstanceProcess {
     child: Child,
@@ -85,9 +132,12 @@
         machine: &Machine,
         work: &str,
         id: &str,
+        shed: Option<(Duration, Duration)>,
         record: &Record,
     ) -> std::io::Result<InstanceProcess> {
+        let shed = shed.map(|(from, to)| format!("{}-{}", from.as_millis(), to.as_millis()));
         let mut child = Command::new(std::env::current_exe()?)
+            .env(SHED_VARIABLE, shed.unwrap_or_default())
             .args(["instance", work])
             .arg(machine.app.to_string())
             .arg(machine.control.to_string())
@@ -114,6 +164,10 @@
         }
     }
 
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     pub fn kill(&mut self) -> std::io::Result<()> {
         self.record.line("the instance is killed");
         self.child.kill()?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,12 +4,15 @@
 //! leaves the disruption out. Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
 mod client;
+mod cut_watchers;
 mod deployment;
 mod fleet;
 mod http;
 mod instance;
 mod instance_process;
 mod leave_after_restart;
+mod long_request;
+mod poison;
 mod record;
 mod store;
 mod truncated;
@@ -50,6 +53,9 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let broken = match case {
         "leave-after-restart" => leave_after_restart::play(&record, trouble)?,
+        "cut-watchers" => cut_watchers::play(&record, trouble)?,
+        "long-request" => long_request::play(&record, trouble)?,
+        "poison" => poison::play(&record, trouble)?,
         "truncated" => truncated::play(&record, trouble)?,
         _ => return Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's metadata store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -25,7 +25,11 @@
     revision: u64,
     /// Whether calls get no answer and are not carried out.
     silent: bool,
-    /// Number of outages so far; a call that began before one gets no answer.
+    /// Machines that are cut off from the store.
+    cut: BTreeSet<String>,
+    /// Machines that have watched since the list was last cleared.
+    watchers: BTreeSet<String>,
+    /// Number of outages and cuts so far; a call that began before one gets no answer.
     outages: u64,
 }
 
@@ -36,11 +40,13 @@
 }
 
 impl Store {
-    pub fn start(addr: SocketAddr) -> std::io::Result<Store> {
-        let store = Store::default();
-        let server = store.clone();
-        serve(TcpListener::bind(addr)?, move |connection| server.serve_connection(connection));
-        Ok(store)
+    /// Serves one machine, at an address of its own, so that the machine can be cut off.
+    pub fn listen(&self, addr: SocketAddr, machine: &str) -> std::io::Result<()> {
+        let (server, machine) = (self.clone(), machine.to_owned());
+        serve(TcpListener::bind(addr)?, move |connection| {
+            server.serve_connection(connection, &machine);
+        });
+        Ok(())
     }
 
     /// Writes the operator's configuration.
@@ -57,15 +63,31 @@
         self.shared.1.notify_all();
     }
 
-    fn serve_connection(&self, mut connection: Connection) {
+    /// Cuts machines off from the store, silently; an empty list ends the cut.
+    pub fn cut_off(&self, machines: BTreeSet<String>) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.cut = machines;
+        state.outages += 1;
+        self.shared.1.notify_all();
+    }
+
+    /// Returns the machines that have watched since the last call.
+    pub fn take_watchers(&self) -> BTreeSet<String> {
+        std::mem::take(&mut self.shared.0.lock().unwrap().watchers)
+    }
+
+    fn serve_connection(&self, mut connection: Connection, machine: &str) {
         while let Ok(Some(request)) = connection.read() {
             let outages = {
-                let state = self.shared.0.lock().unwrap();
-                if state.silent { None } else { Some(state.outages) }
+                let mut state = self.shared.0.lock().unwrap();
+                if request.target().starts_with("/-/kv-watch") {
+                    state.watchers.insert(machine.into());
+                }
+                (!state.is_unreachable(machine)).then_some(state.outages)
             };
-            let answer = outages.and_then(|outages| self.answer(&request, outages));
+            let answer = outages.and_then(|outages| self.answer(&request, outages, machine));
             let Some((status, body)) = answer else {
-                return self.keep_silent(connection);
+                return self.keep_silent(connection, machine);
             };
             thread::sleep(ANSWER_TIME);
             let headers = [("Content-Type", "application/json")];
@@ -75,20 +97,25 @@
         }
     }
 
-    /// Holds a connection without an answer until the outage ends, and closes it then.
-    fn keep_silent(&self, connection: Connection) {
-        while self.shared.0.lock().unwrap().silent {
+    /// Holds a connection without an answer until the outage or cut ends, and closes it then.
+    fn keep_silent(&self, connection: Connection, machine: &str) {
+        while self.shared.0.lock().unwrap().is_unreachable(machine) {
             thread::sleep(Duration::from_millis(50));
         }
         drop(connection);
     }
 
-    fn answer(&self, request: &Message, outages: u64) -> Option<(&'static str, String)> {
+    fn answer(
+        &self,
+        request: &Message,
+        outages: u64,
+        machine: &str,
+    ) -> Option<(&'static str, String)> {
         let path = request.target().split('?').next().unwrap_or("");
         Some(match (request.method(), path) {
             ("GET", "/-/kv-key") => self.get(&request.query("Key").unwrap_or_default()),
             ("GET", "/-/kv-range") => self.range(request),
-            ("GET", "/-/kv-watch") => return self.watch(request, outages),
+            ("GET", "/-/kv-watch") => return self.watch(request, outages, machine),
             ("POST", "/-/kv-txn") => self.transact(&request.text()),
             _ => ("404 Not Found", "{}".into()),
         })
@@ -115,14 +142,19 @@
     }
 
     /// Waits for changes; `None` if an outage began meanwhile.
-    fn watch(&self, request: &Message, outages: u64) -> Option<(&'static str, String)> {
+    fn watch(
+        &self,
+        request: &Message,
+        outages: u64,
+        machine: &str,
+    ) -> Option<(&'static str, String)> {
         let prefix = request.query("Prefix").unwrap_or_default();
         let number = |name| request.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
         let (after, wait) = (number("after"), Duration::from_millis(number("WaitMs")));
         let end = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
         loop {
-            if state.outages != outages {
+            if state.outages != outages && state.is_unreachable(machine) {
                 return None;
             }
             let is_new =
@@ -166,6 +198,10 @@
 }
 
 impl State {
+    fn is_unreachable(&self, machine: &str) -> bool {
+        self.silent || self.cut.contains(machine)
+    }
+
     fn put(&mut self, key: &str, value: String) {
         self.revision += 1;
         let revision = self.revision;
--- a/review/standin-2/truncated.rs
+++ b/review/standin-2/truncated.rs
@@ -28,7 +28,8 @@
         attempts: 2,
     }];
     let _deployment = Deployment::start(&machines, &routes, record)?;
-    let mut instance = InstanceProcess::start(&machines[0], WITHOUT_LENGTH, "i-spot", record)?;
+    let mut instance =
+        InstanceProcess::start(&machines[0], WITHOUT_LENGTH, "i-spot", None, record)?;
     record.wait_until(Duration::from_secs(6));
 
     let request = Request::get(HOST, "/cufi502/2f", Duration::from_secs(5));
