--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,9 +11,9 @@
 mod instance;
 mod instance_process;
 mod leave_after_restart;
-mod long_request;
 mod poison;
 mod record;
+mod slow_reader;
 mod store;
 mod truncated;
 
@@ -54,8 +54,8 @@
     let broken = match case {
         "leave-after-restart" => leave_after_restart::play(&record, trouble)?,
         "cut-watchers" => cut_watchers::play(&record, trouble)?,
-        "long-request" => long_request::play(&record, trouble)?,
         "poison" => poison::play(&record, trouble)?,
+        "slow-reader" => slow_reader::play(&record, trouble)?,
         "truncated" => truncated::play(&record, trouble)?,
         _ => return Err(std::io::Error::other("no such case")),
     };
