--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,14 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Ports that [`free`] chooses from.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+/// Distance of the first ports of two processes with successive ids.
+const PORT_STRIDE: u32 = 307;
+
 static MACHINES: AtomicU8 = AtomicU8::new(0);
+static CHOSEN_PORTS: AtomicU16 = AtomicU16::new(0);
 
 /// Addresses of one machine.
 #[derive(Clone, Debug)]
@@ -91,9 +98,18 @@
     }
 }
 
-/// Returns a free port of an address.
+/// Returns a free port of an address, below those that the system gives to outgoing connections.
 pub fn free(ip: Ipv4Addr) -> Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::new(IpAddr::V4(ip), 0))?.local_addr()
+    let start = FIRST_PORT + (std::process::id() * PORT_STRIDE) % PORTS;
+    for _ in 0..PORTS {
+        let offset = u32::from(CHOSEN_PORTS.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (start - FIRST_PORT + offset) % PORTS;
+        let addr = SocketAddr::new(IpAddr::V4(ip), port as u16);
+        if TcpListener::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+    Err(Error::other("no free port"))
 }
 
 /// Node process of a machine; killed when dropped.
