--- a/review/standin-2/instance_process.rs
+++ b/review/standin-2/instance_process.rs
@@ -105,6 +105,8 @@
     answer(request, connection, &[b'x'; 600])
 }
 
+/// Returns whether a request is shed. Never more than the share of all requests of the period so
+/// far is shed, and the first one never.
 fn sheds(instance: &Instance) -> bool {
     static REQUESTS: AtomicU64 = AtomicU64::new(0);
     let period = std::env::var(SHED_VARIABLE).unwrap_or_default();
@@ -114,10 +116,12 @@
     ) else {
         return false;
     };
-    let now = instance.record.now().as_millis();
-    // A stride that has no common divisor with the cycle spreads the shed requests evenly.
-    let number = REQUESTS.fetch_add(7, Ordering::AcqRel) % SHED_CYCLE;
-    (start..end).contains(&now) && number < SHED_COUNT
+    if !(start..end).contains(&instance.record.now().as_millis()) {
+        return false;
+    }
+    let before = REQUESTS.fetch_add(1, Ordering::AcqRel);
+    let shed_after = |requests: u64| requests * SHED_COUNT / SHED_CYCLE;
+    shed_after(before + 1) > shed_after(before)
 }
 
 /// Handle of the process; it is killed when dropped.
--- a/review/standin-2/leave_after_restart.rs
+++ b/review/standin-2/leave_after_restart.rs
@@ -20,6 +20,8 @@
 /// Pause before a process that ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 const OUTAGE: Duration = Duration::from_secs(8);
+/// Machines, half of them for the service of the instance that leaves.
+const MACHINES: usize = 8;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// How late the last heartbeat from before the leave arrives.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(4_500);
@@ -27,10 +29,11 @@
 const SERVES_ON: Duration = Duration::from_millis(14_000);
 
 pub fn play(record: &Record, trouble: bool) -> std::io::Result<bool> {
-    let machines = [
-        Machine::new("gauteng-a", "gauteng", "orders")?,
-        Machine::new("gauteng-a", "gauteng", "orders")?,
-    ];
+    let mut machines = Vec::new();
+    for number in 0..MACHINES {
+        let service = if number < MACHINES / 2 { "orders" } else { "catalogue" };
+        machines.push(Machine::new("gauteng-a", "gauteng", service)?);
+    }
     let routes = [Route {
         name: "r-orders",
         prefix: "/puka111/",
@@ -45,7 +48,9 @@
         answer(request, connection, &[b'x'; 600])
     });
     let leaving = Instance::start(&machines[0], "i-leaving", record, work.clone())?;
-    let _other = Instance::start(&machines[1], "i-other", record, work)?;
+    for (number, machine) in machines.iter().enumerate().skip(1) {
+        Instance::start(machine, &format!("i-{number}"), record, work.clone())?;
+    }
     let stop = Arc::new(AtomicBool::new(false));
     let clients = start_clients(&machines[0], record, &stop);
 
--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -62,6 +62,11 @@
             thread::spawn(move || download(to, &record))
         })
         .collect();
+    if trouble {
+        deployment.nodes[0].wait_end(GRACE)?;
+        let after = record.now() - stopped;
+        record.line(&format!("the process has ended {:.3} s after SIGTERM", after.as_secs_f64()));
+    }
     let mut cut = 0;
     for client in clients {
         let end = client.join().map_err(|_| std::io::Error::other("a client failed"))??;
@@ -70,9 +75,6 @@
         }
         cut += usize::from(end.is_cut_success && end.after < TIMEOUT);
     }
-    if trouble {
-        deployment.nodes[0].wait_end(GRACE)?;
-    }
     record.line(&format!("{cut} of {CLIENTS} answers were cut before their time was over"));
     Ok(cut > 0)
 }
--- a/review/standin-2/truncated.rs
+++ b/review/standin-2/truncated.rs
@@ -14,11 +14,17 @@
 /// When the notice comes after the request was sent.
 const NOTICE_DELAY: Duration = Duration::from_millis(500);
 
+/// Instances of the service, one of which is taken away, and machines of another service.
+const INSTANCES: usize = 4;
+const OTHER_MACHINES: usize = 4;
+
 pub fn play(record: &Record, trouble: bool) -> std::io::Result<bool> {
-    let machines = [
-        Machine::new("gauteng-a", "gauteng", "documents")?,
-        Machine::new("gauteng-b", "gauteng", "catalogue")?,
-    ];
+    let mut machines = Vec::new();
+    for number in 0..INSTANCES + OTHER_MACHINES {
+        let zone = if number % 2 == 0 { "gauteng-a" } else { "gauteng-b" };
+        let service = if number < INSTANCES { "documents" } else { "catalogue" };
+        machines.push(Machine::new(zone, "gauteng", service)?);
+    }
     let routes = [Route {
         name: "r-documents",
         prefix: "/cufi502/",
@@ -28,14 +34,20 @@
         attempts: 2,
     }];
     let _deployment = Deployment::start(&machines, &routes, record)?;
-    let mut instance =
-        InstanceProcess::start(&machines[0], WITHOUT_LENGTH, "i-spot", None, record)?;
+    let mut instances = Vec::new();
+    for (number, machine) in machines.iter().enumerate() {
+        let id = format!("i-{number}");
+        instances.push(InstanceProcess::start(machine, WITHOUT_LENGTH, &id, None, record)?);
+    }
     record.wait_until(Duration::from_secs(6));
 
     let request = Request::get(HOST, "/cufi502/2f", Duration::from_secs(5));
-    let (to, log) = (machines[1].outbound, record.clone());
+    let (to, log, id) = (machines[INSTANCES].outbound, record.clone(), request.id.clone());
     let client = thread::spawn(move || request.send(to, &log));
     thread::sleep(NOTICE_DELAY);
+    let spot = find_instance(record, &id)?;
+    let instance = &mut instances[spot];
+    record.line(&format!("instance i-{spot} has its notice"));
     instance.drain()?;
     thread::sleep(SPOT_NOTICE);
     if trouble {
@@ -53,3 +65,13 @@
     record.line(&format!("the whole answer has {whole} bytes"));
     Ok(is_truncated)
 }
+
+/// Returns the number of the instance that got a request.
+fn find_instance(record: &Record, request: &str) -> std::io::Result<usize> {
+    let text = std::fs::read_to_string(record.path())?;
+    let (before, _) = text
+        .split_once(&format!(" gets {request},"))
+        .ok_or_else(|| std::io::Error::other("no instance got the request"))?;
+    let number = before.rsplit("instance i-").next().unwrap_or_default();
+    number.parse().map_err(std::io::Error::other)
+}
