--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -1,11 +1,12 @@
 //! Changes that nodes piggyback on probes and their responses.
 
+use super::departures::RecordedDeparture;
 use super::member::GossipedMember;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::collections::FastMap;
-use crate::ids::{Fingerprint, HostName, ServiceName};
+use crate::ids::{Fingerprint, HostName, InstanceId, ServiceName};
 use crate::quarantine::QuarantineEntry;
 
 /// Maximum number of changes in one message.
@@ -21,6 +22,8 @@
         Member(GossipedMember),
         /// Request of a service that was suspected, quarantined, or lifted from quarantine.
         Quarantine(ServiceName, QuarantineEntry),
+        /// Departure of an upstream that the node of a host acknowledged.
+        Departure(HostName, RecordedDeparture),
     }
 
     /// Message that every probe and every response to one carries.
@@ -44,6 +47,7 @@
 enum GossipKey {
     Member(HostName),
     Quarantine(Fingerprint),
+    Departure(HostName, InstanceId),
 }
 
 impl GossipItem {
@@ -52,6 +56,9 @@
         match self {
             GossipItem::Member(member) => GossipKey::Member(member.host.clone()),
             GossipItem::Quarantine(_, entry) => GossipKey::Quarantine(entry.fingerprint),
+            GossipItem::Departure(host, departure) => {
+                GossipKey::Departure(host.clone(), departure.instance.clone())
+            }
         }
     }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod gossip;
 mod member;
+mod member_departures;
 mod probes;
 mod rendezvous;
 mod swim;
@@ -29,6 +30,7 @@
 pub use member::{
     GossipedMember, HostInfo, Member, MemberState, MemberUpdate, UpstreamInfo, UpstreamState,
 };
+pub use member_departures::MemberDepartures;
 pub use rendezvous::rank_by_rendezvous;
 pub use swim::Membership;
 pub use sync::{BUCKET_COUNT, BucketDigests, SyncResponse};
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -238,7 +238,9 @@
         for item in &message.items {
             match item {
                 GossipItem::Member(member) => self.merge(now, member, Source::Gossip),
-                GossipItem::Quarantine(..) => other_items.push(item.clone()),
+                GossipItem::Quarantine(..) | GossipItem::Departure(..) => {
+                    other_items.push(item.clone());
+                }
             }
         }
         self.gossip_suspicion_of(&message.from);
--- a/crates/fuzzing/src/fleet/run.rs
+++ b/crates/fuzzing/src/fleet/run.rs
@@ -479,7 +479,7 @@
     let gossip_bytes = |message: &GossipMessage| {
         let members = message.items.iter().filter_map(|item| match item {
             GossipItem::Member(member) => Some(member),
-            GossipItem::Quarantine(..) => None,
+            GossipItem::Quarantine(..) | GossipItem::Departure(..) => None,
         });
         MESSAGE_BYTES + members.map(member_bytes).sum::<u64>()
     };
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,8 @@
 mod rpc_client;
 mod rpc_server;
 mod state;
+#[cfg(test)]
+mod tests;
 mod thread;
 
 pub(crate) use state::ControlState;
--- a/crates/node/src/control/rpc_server.rs
+++ b/crates/node/src/control/rpc_server.rs
@@ -102,7 +102,7 @@
 
 fn probe(shared: &Arc<Shared>, request: ProbeRequest) -> GossipMessage {
     apply_gossip(shared, &request.message);
-    shared.control().gossip_message()
+    shared.control().gossip_response(&request.message.from)
 }
 
 /// Applies a gossip message from another node, and pulls the configuration if the sender's is
@@ -119,12 +119,20 @@
 pub(super) fn apply_gossip_items(shared: &Arc<Shared>, items: Vec<GossipItem>) {
     let now = shared.clock.now();
     for item in items {
-        let GossipItem::Quarantine(_, entry) = &item else {
-            continue;
-        };
-        let changed = shared.host().merge_quarantine(now, entry);
-        if changed {
-            shared.control().membership.enqueue_gossip(item);
+        match item {
+            GossipItem::Quarantine(_, ref entry) => {
+                let changed = shared.host().merge_quarantine(now, entry);
+                if changed {
+                    shared.control().membership.enqueue_gossip(item);
+                }
+            }
+            GossipItem::Departure(host, departure) if host == shared.settings.host => {
+                shared.host().learn_departure(now, departure);
+            }
+            GossipItem::Departure(host, departure) => {
+                shared.control().record_member_departure(host, departure);
+            }
+            GossipItem::Member(_) => {}
         }
     }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -9,14 +9,15 @@
 use snipehollow_core::ids::{HostName, Incarnation, RegionName, ServiceName, ZoneName};
 use snipehollow_core::membership::{
     Directory, DirectoryConfig, DirectoryQuery, DirectoryResponse, GossipItem, GossipMessage,
-    HostInfo, MemberUpdate, Membership, MembershipConfig, Predecessor, ProbeId, UpstreamInfo,
-    WatchOrder,
+    HostInfo, MemberDepartures, MemberUpdate, Membership, MembershipConfig, Predecessor, ProbeId,
+    RecordedDeparture, UpstreamInfo, WatchOrder,
 };
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::Candidate;
 use snipehollow_core::time::Timestamp;
 use snipehollow_store::SeedList;
 
+use crate::clock::unix_millis;
 use crate::snapshot::Snapshot;
 
 /// Number of members of a zone that write its seeds to the store.
@@ -31,6 +32,7 @@
     pub(crate) directory: Directory,
     pub(crate) rng: Rng,
     watch_order: WatchOrder,
+    member_departures: MemberDepartures,
     config: ConfigState,
     /// Configuration in force, in the form that snapshots share.
     current_config: Arc<Config>,
@@ -85,6 +87,7 @@
             directory,
             rng: Rng::new(seed),
             watch_order: WatchOrder::default(),
+            member_departures: MemberDepartures::default(),
             config: ConfigState::new(),
             current_config: Arc::default(),
             snapshot_version: None,
@@ -144,6 +147,30 @@
         GossipMessage { store_era: self.store_era, ..self.membership.message(revision) }
     }
 
+    /// Returns the response to the gossip message of a member, which also tells that member what it
+    /// may have forgotten in a restart.
+    pub(crate) fn gossip_response(&mut self, to: &HostName) -> GossipMessage {
+        let mut message = self.gossip_message();
+        message.items.extend(self.member_departures.items_for(to, unix_millis()));
+        message
+    }
+
+    /// Queues departures of upstreams of this host to be sent to the other members.
+    pub(crate) fn gossip_departures(&mut self, departures: &[RecordedDeparture]) {
+        let host = self.membership.host().clone();
+        for departure in departures {
+            let item = GossipItem::Departure(host.clone(), departure.clone());
+            self.membership.enqueue_gossip(item);
+        }
+    }
+
+    /// Records a departure that the node of another host acknowledged, and passes it on if it is new.
+    pub(crate) fn record_member_departure(&mut self, host: HostName, departure: RecordedDeparture) {
+        if self.member_departures.record(&host, &departure, unix_millis()) {
+            self.membership.enqueue_gossip(GossipItem::Departure(host, departure));
+        }
+    }
+
     /// Applies a gossip message and returns its items that are not about members.
     pub(crate) fn on_message(
         &mut self,
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -365,7 +365,8 @@
     true
 }
 
-/// Notifies a few members of a new revision immediately; the others learn it by gossip.
+/// Notifies a few members of a new revision or a departure immediately; the others learn it by
+/// gossip.
 ///
 /// A watcher also notifies other zones, because their watchers may be unable to reach the store.
 fn notify_members(shared: &Arc<Shared>) {
--- a/crates/node/src/departures.rs
+++ b/crates/node/src/departures.rs
@@ -1,6 +1,8 @@
-//! Saves departures of upstreams in the store, so that they bind the node after its restart too.
+//! Passes departures of upstreams on to the store and to the other members, so that they bind the node
+//! after its restart too.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use snipehollow_core::membership::RecordedDeparture;
@@ -17,9 +19,17 @@
 
 /// Saves the departures that were recorded since the last call, and waits for that for up to
 /// [`SAVE_TIMEOUT`]. Returns at once if there are none.
+///
+/// The other members are sent them too, because the store may be out of reach until this process
+/// ends.
 pub(crate) async fn save(shared: &Arc<Shared>) {
     let unsaved = shared.host().take_unsaved_departures();
-    let Some(store) = shared.adapters.store.clone().filter(|_| !unsaved.is_empty()) else {
+    if unsaved.is_empty() {
+        return;
+    }
+    shared.control().gossip_departures(&unsaved);
+    shared.notification_pending.store(true, Ordering::Release);
+    let Some(store) = shared.adapters.store.clone() else {
         return;
     };
     let node = Arc::clone(shared);
--- a/crates/node/src/host/announcements.rs
+++ b/crates/node/src/host/announcements.rs
@@ -16,6 +16,19 @@
 /// How late an announcement may arrive.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(10);
 
+/// What a process knows of the departures that were acknowledged on its host before it started.
+///
+/// Until they are known, announcements that may precede one of them are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EarlierDepartures {
+    /// They have not been read from the store.
+    Unread,
+    /// They could not be read at first, so the store may lack those of the time before.
+    Incomplete,
+    /// All that may still matter are known.
+    Known,
+}
+
 impl HostState {
     /// Applies an announcement of the local upstream.
     ///
@@ -37,7 +50,10 @@
         }
         let same_process =
             self.upstream.as_ref().is_some_and(|up| up.is_same_process(announcement));
-        if !same_process && !self.departures_known && may_precede_departure(announcement) {
+        if !same_process
+            && self.earlier_departures != EarlierDepartures::Known
+            && may_precede_departure(announcement)
+        {
             log::info!(
                 instance = announcement.instance.as_ref().map_or("", |id| id.as_str()),
                 sequence = announcement.sequence;
@@ -133,11 +149,19 @@
 
     /// Makes announcements of unknown upstreams wait until [`HostState::restore_departures`].
     pub(crate) fn await_departures(&mut self) {
-        self.departures_known = false;
+        self.earlier_departures = EarlierDepartures::Unread;
+    }
+
+    /// Records that the departures could not be read from the store. Those that were acknowledged
+    /// meanwhile could not be saved either.
+    pub(crate) fn record_unread_departures(&mut self) {
+        if self.earlier_departures == EarlierDepartures::Unread {
+            self.earlier_departures = EarlierDepartures::Incomplete;
+        }
     }
 
-    /// Restores the departures that were acknowledged before this process started, and applies the
-    /// announcement that waited for them.
+    /// Restores the departures that were saved before this process started, and applies the
+    /// announcement that waited for them unless others may be missing.
     ///
     /// Returns the state of the upstream to advertise to the other members.
     pub(crate) fn restore_departures(
@@ -148,30 +172,79 @@
         for departure in departures {
             self.departures.restore(now, departure, unix_millis());
         }
-        self.departures_known = true;
+        if self.earlier_departures == EarlierDepartures::Incomplete {
+            return self.upstream_info(now);
+        }
+        self.earlier_departures = EarlierDepartures::Known;
+        self.apply_held_announcement(now)
+    }
+
+    /// Restores a departure that another member kept, and marks the current upstream as leaving if it
+    /// is the one that departed.
+    pub(crate) fn learn_departure(&mut self, now: Timestamp, departure: RecordedDeparture) {
+        let is_final = departure.sequence.is_none();
+        let departed = departure.instance.clone();
+        self.departures.restore(now, departure, unix_millis());
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        // Which process a health check found is not known before its announcement.
+        if upstream.instance.as_ref() != Some(&departed)
+            || upstream.start == UNKNOWN_PROCESS_START
+            || upstream.info.state == UpstreamState::Leaving
+            || !self.departures.has_departed(now, &departed, upstream.start, upstream.sequence())
+        {
+            return;
+        }
+        log::info!(instance = departed.as_str(); "another member knows that the upstream is leaving");
+        upstream.said_leaving |= is_final;
+        upstream.info.state = UpstreamState::Leaving;
+        let actions = upstream.gate.mark_leaving();
+        self.execute_gate_actions(actions);
+    }
+
+    /// Applies what a health check of the local upstream found: it serves, so no departure of it was
+    /// acknowledged before this process started.
+    ///
+    /// `discovered` is used until the upstream announces itself. A held announcement of the same
+    /// process is applied, one of another process is dropped. Returns the state of the upstream to
+    /// advertise to the other members.
+    pub(crate) fn confirm_upstream(
+        &mut self,
+        now: Timestamp,
+        discovered: &Announcement,
+    ) -> Option<UpstreamInfo> {
+        self.earlier_departures = EarlierDepartures::Known;
+        self.held_announcement.take_if(|held| held.instance != discovered.instance);
+        if self.upstream.is_none() {
+            self.handle_announcement(now, discovered);
+        }
         self.apply_held_announcement(now)
     }
 
-    /// Applies the announcement that was held, if the upstream was discovered meanwhile or the
-    /// earlier departures are known.
-    pub(crate) fn apply_held_announcement(&mut self, now: Timestamp) -> Option<UpstreamInfo> {
+    /// Applies the announcement that was held, once earlier departures are known.
+    pub(super) fn apply_held_announcement(&mut self, now: Timestamp) -> Option<UpstreamInfo> {
         if let Some(held) = self.held_announcement.take() {
             return self.handle_announcement(now, &held);
         }
         self.upstream_info(now)
     }
 
-    /// Returns whether an announcement is held.
-    pub(crate) fn holds_announcement(&self) -> bool {
-        self.held_announcement.is_some()
+    /// Returns the announcement that is held.
+    pub(crate) fn held_announcement(&self) -> Option<&Announcement> {
+        self.held_announcement.as_ref()
     }
 
     /// Stops holding announcements once none from before the start of this process can arrive any
     /// more. The held one may be so old; the upstream renews it.
     pub(super) fn expire_hold(&mut self, now: Timestamp) {
-        if !self.departures_known && now >= Timestamp::ZERO + MAX_ANNOUNCEMENT_DELAY {
-            log::warn!("earlier departures were not read, announcements are believed without them");
-            self.departures_known = true;
+        if self.earlier_departures != EarlierDepartures::Known
+            && now >= Timestamp::ZERO + MAX_ANNOUNCEMENT_DELAY
+        {
+            log::warn!(
+                "earlier departures may be missing, announcements are believed without them"
+            );
+            self.earlier_departures = EarlierDepartures::Known;
             self.held_announcement = None;
         }
     }
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -22,6 +22,7 @@
 use snipehollow_wire::admin::{Announcement, GateState, RouteState};
 use tokio::sync::watch;
 
+use super::announcements::EarlierDepartures;
 use super::caller_retries::CallerRetryTable;
 use super::contexts::{ContextTable, ParentCall};
 use super::shedding::SheddingTable;
@@ -87,8 +88,8 @@
     pub(super) shedding: SheddingTable,
     /// Upstreams that announced their departure recently.
     pub(super) departures: Departures,
-    /// Whether the departures that were acknowledged before this process started are known.
-    pub(super) departures_known: bool,
+    /// What is known of the departures that were acknowledged before this process started.
+    pub(super) earlier_departures: EarlierDepartures,
     /// Newest announcement that waits for them.
     pub(super) held_announcement: Option<Announcement>,
     /// Departures that have to be saved for the time after a restart.
@@ -147,7 +148,7 @@
             retry_budget: RetryBudget::new(),
             shedding: SheddingTable::default(),
             departures: Departures::default(),
-            departures_known: true,
+            earlier_departures: EarlierDepartures::Known,
             held_announcement: None,
             unsaved_departures: Vec::new(),
             router: Router::new(router_config, link),
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -203,3 +203,56 @@
     host.handle_announcement(late, &announcement(8, UpstreamState::Serving));
     assert_eq!(host.unavailability(late, &service()), None);
 }
+
+/// Guards against requests to an upstream whose departure could not be saved, because the store was out
+/// of reach until after the restart: what is read then does not prove that there was none.
+#[test]
+fn announcement_stays_held_if_departures_may_be_missing() {
+    let now = Timestamp::from_millis(1);
+    let mut host = restarted_host();
+    host.record_unread_departures();
+    host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+    host.restore_departures(now, Vec::new());
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::NoUpstream));
+    let other = Announcement {
+        start: UNKNOWN_PROCESS_START,
+        instance: InstanceId::new("i-2").ok(),
+        ..announcement(0, UpstreamState::Serving)
+    };
+    host.confirm_upstream(now, &other);
+    let status = host.upstream.as_ref().and_then(|upstream| upstream.instance.clone());
+    assert_eq!(status, other.instance, "an announcement of an earlier process is dropped");
+
+    let mut host = restarted_host();
+    host.record_unread_departures();
+    host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+    let discovered =
+        Announcement { start: UNKNOWN_PROCESS_START, ..announcement(0, UpstreamState::Serving) };
+    host.confirm_upstream(now, &discovered);
+    assert_eq!(host.unavailability(now, &service()), None, "its health check shows that it serves");
+}
+
+/// Guards against a restarted node that uses an upstream until it leaves, although other members know
+/// that its departure was acknowledged.
+#[test]
+fn departure_that_another_member_knows_stops_the_upstream() {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let now = Timestamp::from_millis(1);
+    let departure = |start, sequence| RecordedDeparture {
+        instance: InstanceId::new("i-1").unwrap(),
+        start: Some(start),
+        sequence,
+        unix_ms: unix_millis(),
+    };
+    let after = |departure, sequence| {
+        let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+        host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+        host.learn_departure(now, departure);
+        host.handle_announcement(now, &announcement(sequence, UpstreamState::Serving));
+        host.unavailability(now, &service())
+    };
+    assert_eq!(after(departure(1, None), 8), Some(Reason::Leaving), "it is final");
+    assert_eq!(after(departure(1, Some(9)), 8), Some(Reason::Leaving), "told by announcement 9");
+    assert_eq!(after(departure(1, Some(7)), 8), None, "announcement 8 took it back");
+    assert_eq!(after(departure(0, None), 8), None, "an earlier process departed");
+}
--- a/crates/node/src/host/upstream.rs
+++ b/crates/node/src/host/upstream.rs
@@ -85,6 +85,11 @@
         self.expires = now + ttl(announcement);
     }
 
+    /// Returns the sequence number of the newest announcement.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
         self.info.state == UpstreamState::Serving && self.expires > now
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -56,7 +56,8 @@
     pub(crate) caller_requests: InProgress,
     /// Tries in progress at the peer listener.
     pub(crate) peer_tries: InProgress,
-    /// Whether a new revision is in force that no member has been notified of.
+    /// Whether there is something that no member has been notified of: a new revision in force, or a
+    /// departure of the upstream.
     pub(crate) notification_pending: AtomicBool,
     /// Whether a pull of the configuration from another node is running.
     pub(crate) config_pull_running: AtomicBool,
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -191,7 +191,10 @@
                 log::warn!("malformed departures ignored: {err}");
                 Vec::new()
             }
-            Err(err) => return self.record_failure(&err),
+            Err(err) => {
+                self.shared.host().record_unread_departures();
+                return self.record_failure(&err);
+            }
         };
         self.record_success();
         self.departures_were_read = true;
--- a/crates/node/src/traffic/upstream_listener.rs
+++ b/crates/node/src/traffic/upstream_listener.rs
@@ -47,7 +47,7 @@
         Ok(notice) => {
             apply_notice(shared, notice);
             departures::save(shared).await;
-            if shared.host().holds_announcement() {
+            if shared.host().held_announcement().is_some() {
                 tokio::spawn(confirm_held_announcement(traffic.clone()));
             }
             let (body, content_type) = shared.adapters.protocol.acknowledgement();
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -55,9 +55,10 @@
         if traffic.shared.host().has_upstream() {
             return;
         }
-        if let Some(target) = ProbeTarget::of(&traffic) {
+        let target = traffic.shared.local_service().and_then(|it| ProbeTarget::of(&traffic, it));
+        if let Some(target) = target {
             probes += 1;
-            if probe_and_announce(&traffic, addr, &target).await {
+            if probe_and_confirm(&traffic, addr, &target).await {
                 return;
             }
         }
@@ -66,20 +67,20 @@
 }
 
 /// Probes the local upstream once if its announcement is still held after a moment, because the store
-/// is out of reach.
+/// is or was out of reach.
 pub(super) async fn confirm_held_announcement(traffic: TrafficContext) {
     tokio::time::sleep(CONFIRMATION_DELAY).await;
-    if !traffic.shared.host().holds_announcement() {
+    let held = traffic.shared.host().held_announcement().cloned();
+    let Some(held) = held else {
         return;
-    }
-    let addr = traffic.shared.settings.upstream_addr;
-    if let (Some(addr), Some(target)) = (addr, ProbeTarget::of(&traffic)) {
-        probe_and_announce(&traffic, addr, &target).await;
+    };
+    if let Some(target) = ProbeTarget::of(&traffic, held.upstream.service) {
+        probe_and_confirm(&traffic, held.addr, &target).await;
     }
 }
 
-/// Probes the upstream, and announces it if it responds as serving; returns whether it does.
-async fn probe_and_announce(
+/// Probes the upstream, and uses it if it responds as serving; returns whether it does.
+async fn probe_and_confirm(
     traffic: &TrafficContext,
     addr: SocketAddr,
     target: &ProbeTarget,
@@ -87,7 +88,7 @@
     let found = probe(traffic, addr, &target.health_path).await;
     let is_serving = found.is_some();
     if let Some(found) = found {
-        announce_discovered(traffic, addr, found, target);
+        confirm_upstream(traffic, addr, found, target);
     }
     is_serving
 }
@@ -100,8 +101,9 @@
 }
 
 impl ProbeTarget {
-    fn of(traffic: &TrafficContext) -> Option<ProbeTarget> {
-        let service = traffic.shared.local_service()?;
+    /// Returns the target for the upstream of a service; `None` if the configuration has no health check
+    /// for it.
+    fn of(traffic: &TrafficContext, service: ServiceName) -> Option<ProbeTarget> {
         let config = traffic.shared.snapshot.load().config.clone();
         let section = config.service(&service)?;
         let slots = section.max_connections.map(|max| (max / CONNECTIONS_PER_SLOT).max(1));
@@ -153,7 +155,7 @@
     instance.map(|instance| Found { instance, rate: signals.rate })
 }
 
-fn announce_discovered(
+fn confirm_upstream(
     traffic: &TrafficContext,
     addr: SocketAddr,
     found: Found,
@@ -177,12 +179,11 @@
     };
     let info = {
         let mut host = traffic.shared.host();
-        if host.has_upstream() {
-            return;
-        }
-        host.handle_announcement(now, &announcement);
-        let info = host.apply_held_announcement(now);
-        if let RateSignal::Named(limit) = found.rate {
+        let was_unknown = !host.has_upstream();
+        let info = host.confirm_upstream(now, &announcement);
+        if let RateSignal::Named(limit) = found.rate
+            && was_unknown
+        {
             host.record_rate_limit(now, limit);
         }
         info
