--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -40,6 +40,9 @@
         /// Highest known number of restorations of the store from an older copy.
         #[serde(default)]
         pub store_era: u64,
+        /// Whether the sender calls the store and gets no responses.
+        #[serde(default)]
+        pub lost_store: bool,
     }
 }
 
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -34,4 +34,4 @@
 pub use rendezvous::rank_by_rendezvous;
 pub use swim::Membership;
 pub use sync::{BUCKET_COUNT, BucketDigests, SyncResponse};
-pub use watch_order::{Predecessor, WatchOrder};
+pub use watch_order::{OrderedMember, WatchOrder};
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -227,6 +227,7 @@
             digest: self.digests.total(),
             revision,
             store_era: 0,
+            lost_store: false,
         }
     }
 
--- a/crates/core/tests/lenient.rs
+++ b/crates/core/tests/lenient.rs
@@ -37,6 +37,7 @@
         digest: 0,
         revision: 1,
         store_era: 0,
+        lost_store: false,
     }
 }
 
--- a/crates/core/tests/watch_order.rs
+++ b/crates/core/tests/watch_order.rs
@@ -129,3 +129,46 @@
     third.order.record_response(&first);
     assert!(!third.is_watcher());
 }
+
+/// Guards against watchers that the store turns away and that keep their place, while members that it
+/// serves use an older configuration.
+#[test]
+fn watchers_without_the_store_are_replaced_until_it_is_back() {
+    let mut nodes = zone(12);
+    let hosts: Vec<HostName> = nodes.iter().map(|node| node.membership.host().clone()).collect();
+    let lose = |nodes: &mut [Node], lost: &[usize], at: Timestamp| {
+        let watchers = nodes.iter_mut().map(|node| {
+            node.order.expire_losses(at);
+            for i in lost {
+                node.order.record_store_loss(at, &hosts[*i], true);
+            }
+            node.is_watcher()
+        });
+        watchers.enumerate().filter(|(_, watches)| *watches).map(|(i, _)| i).collect::<Vec<_>>()
+    };
+    let now = Timestamp::ZERO;
+    assert_eq!(lose(&mut nodes, &[], now), [0, 1]);
+    assert_eq!(lose(&mut nodes, &[1], now), [0, 1, 2, 3]);
+    assert_eq!(lose(&mut nodes, &[0, 2], now), [0, 1, 2, 3, 4, 5, 6, 7]);
+    // Without the store for all, calls to it stay bounded.
+    let all: Vec<usize> = (0..12).collect();
+    assert_eq!(lose(&mut nodes, &all, now), [0, 1, 2, 3, 4]);
+    // The losses are not said again.
+    assert_eq!(lose(&mut nodes, &[], Timestamp::from_millis(3_000)), [0, 1]);
+    nodes[3].order.record_store_loss(now, &hosts[0], true);
+    assert!(nodes[3].is_watcher());
+    nodes[3].order.record_store_loss(now, &hosts[0], false);
+    assert!(!nodes[3].is_watcher(), "it has the store back");
+}
+
+/// Guards against a loss of the store that the members who have to watch are not told of.
+#[test]
+fn successors_are_the_next_responsive_members() {
+    let mut nodes = zone(5);
+    let hosts: Vec<HostName> = nodes.iter().map(|node| node.membership.host().clone()).collect();
+    let node = &mut nodes[1];
+    node.order.record_failure(&hosts[2]);
+    let next: Vec<HostName> =
+        node.order.successors(&node.membership, 2).into_iter().map(|member| member.host).collect();
+    assert_eq!(next, hosts[3..5]);
+}
--- a/crates/fuzzing/src/oracles/messages.rs
+++ b/crates/fuzzing/src/oracles/messages.rs
@@ -103,6 +103,7 @@
         digest: 0,
         revision: 1,
         store_era: 0,
+        lost_store: false,
     })
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -9,7 +9,7 @@
 use snipehollow_core::ids::{HostName, Incarnation, RegionName, ServiceName, ZoneName};
 use snipehollow_core::membership::{
     Directory, DirectoryConfig, DirectoryQuery, DirectoryResponse, GossipItem, GossipMessage,
-    HostInfo, MemberDepartures, MemberUpdate, Membership, MembershipConfig, Predecessor, ProbeId,
+    HostInfo, MemberDepartures, MemberUpdate, Membership, MembershipConfig, OrderedMember, ProbeId,
     RecordedDeparture, UpstreamInfo, WatchOrder,
 };
 use snipehollow_core::rng::Rng;
@@ -48,6 +48,10 @@
     draining: bool,
     /// Whether the last call to the store succeeded; `None` while this node does not call it.
     pub(crate) store_reachable: Option<bool>,
+    /// When the store should have responded to the call in progress; `None` without one.
+    pub(crate) store_response_due: Option<Timestamp>,
+    /// Whether this node calls the store and gets no responses, as of the last tick.
+    lost_store: bool,
     /// Highest known era of the store, from its responses or from other members; 0 before the
     /// first.
     store_era: u64,
@@ -97,6 +101,8 @@
             default_link_bytes_per_second: settings.link_bytes_per_second,
             draining: false,
             store_reachable: None,
+            store_response_due: None,
+            lost_store: false,
             store_era: 0,
         }
     }
@@ -144,7 +150,11 @@
     /// Returns the gossip message to send with a probe or its response.
     pub(crate) fn gossip_message(&mut self) -> GossipMessage {
         let revision = self.config.revision();
-        GossipMessage { store_era: self.store_era, ..self.membership.message(revision) }
+        GossipMessage {
+            store_era: self.store_era,
+            lost_store: self.lost_store,
+            ..self.membership.message(revision)
+        }
     }
 
     /// Returns the response to the gossip message of a member, which also tells that member what it
@@ -177,7 +187,7 @@
         now: Timestamp,
         message: &GossipMessage,
     ) -> Vec<GossipItem> {
-        self.watch_order.record_response(&message.from);
+        self.record_sender(now, message);
         self.membership.on_message(now, message)
     }
 
@@ -189,7 +199,7 @@
         probe: ProbeId,
         message: &GossipMessage,
     ) -> Vec<GossipItem> {
-        self.watch_order.record_response(&message.from);
+        self.record_sender(now, message);
         self.membership.on_probe_response(now, probe, message)
     }
 
@@ -198,14 +208,47 @@
         self.membership.get(self.membership.host()).map(|member| member.update.clone())
     }
 
+    /// Records what the sender of a message is as a watcher of the configuration.
+    fn record_sender(&mut self, now: Timestamp, message: &GossipMessage) {
+        self.watch_order.record_response(&message.from);
+        let was_watcher = self.is_watcher();
+        self.watch_order.record_store_loss(now, &message.from, message.lost_store);
+        if !was_watcher && self.is_watcher() {
+            log::info!(host = message.from.as_str(); "watching in place of a member that has lost the store");
+        }
+    }
+
     /// Returns whether this node watches the configuration for its zone.
     pub(crate) fn is_watcher(&mut self) -> bool {
         self.watch_order.is_watcher(&self.membership)
     }
 
+    /// Returns the rank of this node among the watchers of its zone; `None` if it is none of them.
+    pub(crate) fn watcher_rank(&mut self) -> Option<usize> {
+        self.watch_order.watcher_rank(&self.membership)
+    }
+
+    /// Returns up to `count` members that come after this node in the order of the watchers.
+    pub(crate) fn watch_successors(&mut self, count: usize) -> Vec<OrderedMember> {
+        self.watch_order.successors(&self.membership, count)
+    }
+
+    /// Returns whether this node calls the store and gets no responses.
+    pub(crate) fn has_lost_store(&self) -> bool {
+        self.lost_store
+    }
+
+    /// Updates which members have lost the store; returns whether that of this node has changed.
+    pub(crate) fn update_store_losses(&mut self, now: Timestamp) -> bool {
+        self.watch_order.expire_losses(now);
+        let is_overdue = self.store_response_due.is_some_and(|due| now > due);
+        let lost = self.store_reachable == Some(false) || is_overdue;
+        std::mem::replace(&mut self.lost_store, lost) != lost
+    }
+
     /// Returns up to `count` members whose place as watcher this node may have to take; see
     /// [`WatchOrder::predecessors`].
-    pub(crate) fn watch_predecessors(&mut self, count: usize) -> Vec<Predecessor> {
+    pub(crate) fn watch_predecessors(&mut self, count: usize) -> Vec<OrderedMember> {
         self.watch_order.predecessors(&self.membership, count)
     }
 
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -42,6 +42,11 @@
 const WATCH_CHECK_TICKS: u64 = 5;
 /// Number of members that are checked at once after one did not respond.
 const WATCH_CHECK_FAN_OUT: usize = 16;
+/// Number of members after this node in the order of the watchers that are notified when it loses the
+/// store.
+const STORE_LOSS_FAN_OUT: usize = 8;
+/// Ticks between two such notifications while the store is lost.
+const STORE_LOSS_TICKS: u64 = 10;
 /// Ticks between two pulls of the configuration from another zone by a watcher.
 const ZONE_PULL_TICKS: u64 = 50;
 /// Ticks between two such pulls while the watcher cannot reach the store or no configuration is in
@@ -99,10 +104,18 @@
     for DirectoryAction::Pull { zone, from, query } in pulls {
         tokio::spawn(pull_directory(Arc::clone(shared), zone, from, query));
     }
-    let without_store = {
-        let control = shared.control();
-        control.store_reachable == Some(false) || control.config().revision() == 0
+    let (lost_store, has_changed, has_config) = {
+        let mut control = shared.control();
+        let has_changed = control.update_store_losses(now);
+        (control.has_lost_store(), has_changed, control.config().revision() > 0)
     };
+    if has_changed {
+        log::info!(lost_store; "members after this one in the order of watchers are notified");
+    }
+    if has_changed || (lost_store && ticks.is_multiple_of(STORE_LOSS_TICKS)) {
+        notify_watch_successors(shared);
+    }
+    let without_store = lost_store || !has_config;
     let pull_ticks = if without_store { ZONE_PULL_TICKS_WITHOUT_STORE } else { ZONE_PULL_TICKS };
     if ticks.is_multiple_of(pull_ticks) {
         pull_from_remote_zone(shared);
@@ -469,6 +482,16 @@
     }
 }
 
+/// Notifies the next members in the order of the watchers whether this node has lost the store, for
+/// whoever has to watch in its place.
+fn notify_watch_successors(shared: &Arc<Shared>) {
+    let successors = shared.control().watch_successors(STORE_LOSS_FAN_OUT);
+    for member in successors {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move { gossip_to_member(&shared, member.control).await });
+    }
+}
+
 /// Pulls the configuration from another zone if this node is a watcher or has no configuration. A
 /// zone that can reach other zones but not the store gets its configuration this way.
 fn pull_from_remote_zone(shared: &Arc<Shared>) {
--- a/crates/node/src/store_watch.rs
+++ b/crates/node/src/store_watch.rs
@@ -18,14 +18,20 @@
 
 use crate::NodeError;
 use crate::adapters::SharedStore;
+use crate::clock::unix_millis;
 use crate::control::apply_config_delta;
 use crate::shared::Shared;
 use crate::supervisor::Child;
 
-/// Maximum duration of one watch request. It bounds the time until a dead connection is noticed.
+/// Duration of one watch request. It bounds the time until a dead connection is noticed.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Minimum duration of the watch request that aligns the next ones; see [`StoreWatcher::watch_wait`].
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(250);
+/// Time after its end by which the response to a watch is expected; the store counts as lost from then
+/// on. Shorter than the time limit of the call.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(250);
 /// Interval at which a node that does not watch checks whether it has become a watcher.
-const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of seed refreshes while a contact is known in every zone.
 const SEED_INTERVAL: Duration = Duration::from_secs(60);
 /// Interval of seed refreshes while a zone has no known contact or a write of seeds failed.
@@ -39,6 +45,10 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 /// Maximum backoff, short enough that a store which recovers is used again within two seconds.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Number of watchers of a zone that call the store again after [`MAX_BACKOFF`].
+const REGULAR_WATCHERS: usize = 2;
+/// Maximum backoff of those who watch in place of others.
+const SUBSTITUTE_BACKOFF: Duration = Duration::from_secs(2);
 /// Author under which configurations from a feed are recorded.
 const FEED_AUTHOR: &str = "feed";
 
@@ -74,6 +84,10 @@
     /// Era in which the seeds were last refreshed; 0 before an era is known.
     seeds_era: u64,
     backoff: Duration,
+    /// Rank of this node among the watchers of its zone in the last step; `None` if it was none.
+    rank: Option<usize>,
+    /// Whether the next step must read the newest configuration at once.
+    reads_at_once: bool,
     /// Whether this process has read the configuration once.
     config_was_read: bool,
     /// Whether this process has read the departures of its upstreams.
@@ -93,6 +107,8 @@
             era: None,
             seeds_era: 0,
             backoff: INITIAL_BACKOFF,
+            rank: None,
+            reads_at_once: true,
             config_was_read: false,
             departures_were_read: false,
             next_seed_refresh: Instant::now(),
@@ -107,8 +123,11 @@
         if !self.departures_were_read {
             self.read_departures();
         }
-        let is_watcher = self.shared.control().is_watcher();
-        if is_watcher || !self.config_was_read {
+        let rank = self.shared.control().watcher_rank();
+        // The configuration may have changed since, and the watchers before may have missed it.
+        self.reads_at_once |= rank.is_some() && self.rank.is_none();
+        self.rank = rank;
+        if rank.is_some() || !self.config_was_read {
             match self.shared.adapters.config.clone() {
                 ConfigSource::Sheet => self.follow_head(),
                 ConfigSource::Feed(feed) => self.follow_feed(&*feed),
@@ -209,10 +228,19 @@
     /// Waits for the next configuration of the feed and applies it.
     fn follow_feed(&mut self, feed: &dyn ConfigFeed) {
         self.shared.metrics.store_calls.inc();
-        let event = match self.cursor {
-            None => feed.read_latest(),
-            Some(cursor) => feed.wait_for_update(cursor, WATCH_WAIT),
+        let wait = self.watch_wait();
+        let reads_at_once = std::mem::take(&mut self.reads_at_once);
+        let event = match self.cursor.filter(|_| !reads_at_once) {
+            None => {
+                self.expect_response(Duration::ZERO);
+                feed.read_latest()
+            }
+            Some(cursor) => {
+                self.expect_response(wait);
+                feed.wait_for_update(cursor, wait)
+            }
         };
+        self.shared.control().store_response_due = None;
         match event {
             Ok(FeedEvent::Published(snapshot, cursor)) => {
                 self.record_success();
@@ -244,6 +272,24 @@
         }
     }
 
+    /// Returns how long the next watch waits.
+    ///
+    /// Those of every other watcher end half of [`WATCH_WAIT`] later by the wall clock, so that the first
+    /// of them to notice that the store is lost does so sooner.
+    fn watch_wait(&self) -> Duration {
+        let period = WATCH_WAIT.as_millis() as u64;
+        let is_odd = self.rank.is_some_and(|rank| rank % 2 == 1);
+        let offset = if is_odd { period / 2 } else { 0 };
+        let left = Duration::from_millis(period - (unix_millis() + offset) % period);
+        if left < MIN_WATCH_WAIT { left + WATCH_WAIT } else { left }
+    }
+
+    /// Records when the store should have responded to a call that waits for up to `wait`.
+    fn expect_response(&self, wait: Duration) {
+        let due = self.shared.clock.now() + wait + RESPONSE_MARGIN;
+        self.shared.control().store_response_due = Some(due);
+    }
+
     /// Records the position from which the next watch continues.
     fn record_position(&mut self, cursor: Cursor) {
         if let Some(before) = self.era.replace(cursor.era)
@@ -278,11 +324,15 @@
     /// Waits for a change of the configuration head and handles it.
     fn follow_head(&mut self) {
         self.shared.metrics.store_calls.inc();
-        let head = if self.config_was_read {
-            watch_head(&*self.store, self.head_version, WATCH_WAIT)
-        } else {
+        let wait = self.watch_wait();
+        let head = if std::mem::take(&mut self.reads_at_once) || !self.config_was_read {
+            self.expect_response(Duration::ZERO);
             load_head(&*self.store).map(|(head, version)| head.map(|head| (head, version)))
+        } else {
+            self.expect_response(wait);
+            watch_head(&*self.store, self.head_version, wait)
         };
+        self.shared.control().store_response_due = None;
         match head {
             Ok(Some((head, version))) => {
                 self.record_success();
@@ -388,7 +438,9 @@
             log::warn!("store unreachable, retrying after backoff: {err}");
         }
         self.sleep(self.backoff);
-        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        let is_substitute = self.rank.is_some_and(|rank| rank >= REGULAR_WATCHERS);
+        let max_backoff = if is_substitute { SUBSTITUTE_BACKOFF } else { MAX_BACKOFF };
+        self.backoff = (self.backoff * 2).min(max_backoff);
     }
 
     /// Sleeps for `duration`, or until the process stops if that is sooner.
