--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -160,8 +160,11 @@
         self.running.insert(id, Running { fingerprint, was_suspect });
     }
 
-    /// Records that a try ended without a crash of the upstream. If it completed and was
-    /// suspected, clears the entry and returns it, to be sent to other nodes.
+    /// Records that a try ended without a crash of the upstream. `completed` tells whether the
+    /// upstream ran it to its end; one that it refused did not complete.
+    ///
+    /// If the try completed and was suspected, clears the entry and returns it, to be sent to other
+    /// nodes.
     pub fn finish(
         &mut self,
         now: Timestamp,
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -1,5 +1,5 @@
-//! Tests of tries whose process was paused between the decision of the gate and the dispatch, and of
-//! late announcements.
+//! Tests of tries whose process was paused between the decision of the gate and the dispatch, of
+//! late announcements, and of tries that count for the quarantine.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use snipehollow_config::settings::NodeSettings;
-use snipehollow_core::admission::UNKNOWN_PROCESS_START;
+use snipehollow_core::admission::{Completion, UNKNOWN_PROCESS_START};
 use snipehollow_core::class::{ClassPolicy, Rank};
 use snipehollow_core::ids::{
-    CallerKey, ClassName, Fingerprint, InstanceId, RequestId, ServiceName,
+    CallerKey, ClassName, Fingerprint, InstanceId, RequestId, ServiceName, TryId,
 };
 use snipehollow_core::membership::{RecordedDeparture, UpstreamInfo, UpstreamState};
 use snipehollow_core::reason::Reason;
@@ -256,3 +256,30 @@
     assert_eq!(after(departure(1, Some(7)), 8), None, "announcement 8 took it back");
     assert_eq!(after(departure(0, None), 8), None, "an earlier process departed");
 }
+
+/// Starts a try at an upstream process; returns the reason if it is refused on arrival.
+fn start_call(host: &mut HostState, now: Timestamp, process: u64) -> Result<TryId, Reason> {
+    let serving = Announcement { start: process, ..announcement(0, UpstreamState::Serving) };
+    host.handle_announcement(now, &serving);
+    let call = call(now, Duration::from_secs(60));
+    match host.admit(now, &call) {
+        Admission::Wait(id, ..) => host.start_try(now, id, &call, Allowance(0)).map(|_| id),
+        Admission::Refused(reason) => Err(reason),
+    }
+}
+
+/// Guards against a request that crashes upstreams again and again because one of them refused it
+/// under load, before its first crash or while it is suspected.
+#[test]
+fn request_that_upstreams_also_refuse_is_quarantined_after_two_crashes() {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+    let now = Timestamp::from_millis(1);
+    for process in 1..=2 {
+        let refused = start_call(&mut host, now, process).unwrap();
+        host.end_try(now, now, refused, Completion::Overloaded);
+        start_call(&mut host, now, process).unwrap();
+        host.remove_upstream(now);
+    }
+    assert_eq!(start_call(&mut host, now, 3), Err(Reason::Quarantined));
+}
--- a/crates/node/src/host/tries.rs
+++ b/crates/node/src/host/tries.rs
@@ -282,7 +282,9 @@
             self.shedding.record_run_end(now, &class);
         }
         let waited = self.contexts.remove(id, now);
-        let cleared = self.quarantine.finish(now, id, completion != Completion::Failed);
+        // A request that the upstream refused has not run, so it may still crash upstreams.
+        let completed = completion == Completion::Succeeded;
+        let cleared = self.quarantine.finish(now, id, completed);
         if let (Some(entry), Some(upstream)) = (cleared, &self.upstream) {
             self.quarantine_changes.push((upstream.info.service.clone(), entry));
         }
