Responses without end starve no node and take no more memory than the settings permit

Other operators saw a faulty upstream send bytes without end until its caller, which kept them all, ran out of memory. Here: with 32 callers at once a chunk size of zeros gave callers their failure after 4.3 s and later, some none within 10 s, at a time limit of 1 s; bodies over 8 MiB grew the process by 346 MB where held_bytes permits 80 MiB (debug build, one node).

Cause: the parser of the chunked framing never yields on a size that does not overflow, and the read limit was lifted after the head; bodies were joined in buffers that double, and read buffers grew to the library's 400 KiB.

Change: at most 256 KiB are read between two pieces of a body; bodies are kept in segments and joined once; read buffers are at most 32 KiB.

Remains: several faulty upstreams beside uploads, and two nodes in a release build, were not run.

--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::held_bytes::{BodyKind, HeldBytes};
 use super::pool::{Connection, Pool, Reuse, SendError};
+use super::response_io::ReadAllowance;
 
 /// What a piece of a body, such as a chunk, counts in addition to its length.
 const PIECE_OVERHEAD_BYTES: usize = 128;
@@ -104,7 +105,7 @@
             }
             Ok(Ok(response)) => {
                 let proof = proof.dispatch();
-                let read = read_buffered(&method, response, options);
+                let read = read_buffered(&method, response, connection.allowance(), options);
                 return match timeout_at(deadline, read).await {
                     Err(_) => Err(ExchangeError::TimedOut(proof)),
                     Ok(Err(ReadError::Incomplete)) => Err(ExchangeError::Incomplete(proof)),
@@ -128,6 +129,7 @@
 async fn read_buffered(
     method: &Method,
     response: Response<Incoming>,
+    allowance: ReadAllowance,
     options: ExchangeOptions<'_>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), ReadError> {
     let (parts, body) = response.into_parts();
@@ -135,16 +137,21 @@
         // A response that ends with the connection cannot be distinguished from a truncated one.
         return Err(ReadError::Incomplete);
     }
-    let body = read_body(body, options).await?;
+    let body = read_body(body, allowance, options).await?;
     Ok((parts.status, parts.headers, body))
 }
 
 /// Reads a body into one buffer. Each piece counts as [`PIECE_OVERHEAD_BYTES`] more than its
 /// length, so that a body in many small pieces cannot take unbounded time.
-async fn read_body(mut body: Incoming, options: ExchangeOptions<'_>) -> Result<Bytes, ReadError> {
+async fn read_body(
+    mut body: Incoming,
+    allowance: ReadAllowance,
+    options: ExchangeOptions<'_>,
+) -> Result<Bytes, ReadError> {
     let mut held = options.held.body();
     let mut counted = 0;
     while let Some(frame) = body.frame().await {
+        allowance.await_piece();
         let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() else {
             // Trailers are not forwarded.
             continue;
--- a/crates/node/src/traffic/held_bytes.rs
+++ b/crates/node/src/traffic/held_bytes.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 /// Part of the limit by which responses may exceed it, as a divisor. Their requests have run, so
 /// they are held while new requests are already refused.
 const RESPONSE_HEADROOM_DIVISOR: usize = 4;
+/// Size of the segments in which a body is kept until it is complete. One buffer that grows would take up
+/// to three times its length while it is copied.
+const SEGMENT_BYTES: usize = 64 << 10;
 
 /// Counts the bytes of request and response bodies that the process holds, for slow callers and
 /// upstreams in particular, against a limit.
@@ -30,8 +33,8 @@
 pub(crate) struct HeldBody {
     /// The body, if it has arrived in one piece so far.
     whole: Bytes,
-    /// The body, if it has arrived in several pieces.
-    joined: BytesMut,
+    /// The body, if it has arrived in several pieces. All segments but the last one are full.
+    segments: Vec<Vec<u8>>,
     reservation: Reservation,
 }
 
@@ -72,7 +75,7 @@
     /// Starts to receive a body.
     pub(crate) fn body(&self) -> HeldBody {
         let reservation = Reservation { owner: self.clone(), bytes: 0 };
-        HeldBody { whole: Bytes::new(), joined: BytesMut::new(), reservation }
+        HeldBody { whole: Bytes::new(), segments: Vec::new(), reservation }
     }
 
     fn limit(&self, kind: BodyKind) -> usize {
@@ -100,18 +103,38 @@
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, reserve)
             .map_err(|_| LimitReached)?;
         *bytes += data.len();
-        if self.whole.is_empty() && self.joined.is_empty() {
+        if self.whole.is_empty() && self.segments.is_empty() {
             self.whole = data;
             return Ok(());
         }
-        self.joined.extend_from_slice(&std::mem::take(&mut self.whole));
-        self.joined.extend_from_slice(&data);
+        let first = std::mem::take(&mut self.whole);
+        self.append(&first);
+        self.append(&data);
         Ok(())
     }
 
+    fn append(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            match self.segments.last().map(Vec::len) {
+                // Most bodies fit into a part of the first segment.
+                None => self.segments.push(Vec::new()),
+                Some(SEGMENT_BYTES) => self.segments.push(Vec::with_capacity(SEGMENT_BYTES)),
+                Some(_) => {}
+            }
+            if let Some(last) = self.segments.last_mut() {
+                let (fitting, rest) = data.split_at(data.len().min(SEGMENT_BYTES - last.len()));
+                last.extend_from_slice(fitting);
+                data = rest;
+            }
+        }
+    }
+
     /// Returns the body, whose bytes stay counted until the last clone is dropped.
     pub(crate) fn finish(self) -> Bytes {
-        let bytes = if self.joined.is_empty() { self.whole } else { self.joined.freeze() };
+        let bytes = match self.segments.is_empty() {
+            true => self.whole,
+            false => join(self.segments, self.reservation.bytes),
+        };
         if bytes.is_empty() {
             return bytes;
         }
@@ -119,6 +142,15 @@
     }
 }
 
+/// Copies segments with this total length into one buffer, and frees each once it is copied.
+fn join(segments: Vec<Vec<u8>>, len: usize) -> Bytes {
+    let mut joined = Vec::with_capacity(len);
+    for segment in segments {
+        joined.extend_from_slice(&segment);
+    }
+    joined.into()
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.owner.held.fetch_sub(self.bytes, Ordering::AcqRel);
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -29,6 +29,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum size of the read buffer of a connection, which also limits the head of a response.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDR: usize = 512;
 /// Idle time after which a connection is closed.
@@ -133,8 +135,11 @@
         )?;
         let stream = ResponseIo::new(stream);
         let allowance = stream.allowance();
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
         tokio::spawn(async move {
             // The request on the connection receives the error too.
             let _ = driver.await;
@@ -177,6 +182,11 @@
         self.sender.is_closed()
     }
 
+    /// Returns the limit on what is read from the connection.
+    pub(super) fn allowance(&self) -> ReadAllowance {
+        self.allowance.clone()
+    }
+
     /// Sends a request and returns the response as soon as its head has arrived.
     pub(crate) async fn send(
         &mut self,
@@ -186,7 +196,7 @@
         self.last_id = id.cloned();
         self.allowance.await_head();
         let sent = self.sender.try_send_request(req).await;
-        self.allowance.head_arrived();
+        self.allowance.await_piece();
         sent.map_err(|mut err| match err.take_message() {
             Some(req) => SendError::Unsent(Box::new(req)),
             None => SendError::Failed,
--- a/crates/node/src/traffic/response_io.rs
+++ b/crates/node/src/traffic/response_io.rs
@@ -1,4 +1,4 @@
-//! TCP stream that bounds the head of a response.
+//! TCP stream that bounds the head of a response, and what is read between the pieces of its body.
 
 use std::io;
 use std::pin::Pin;
@@ -12,6 +12,9 @@
 /// Maximum number of bytes that are read for the head of a response, including informational
 /// responses before it, which hyper skips without a limit of its own.
 const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Maximum number of bytes that are read without a piece of the body: the framing, which hyper parses
+/// without a limit of its own, and what it reads ahead.
+const MAX_UNDELIVERED_BYTES: usize = 256 << 10;
 
 /// Number of bytes that may still be read from a connection.
 #[derive(Clone, Debug)]
@@ -23,9 +26,10 @@
         self.0.store(MAX_HEAD_BYTES, Ordering::Release);
     }
 
-    /// Lifts the limit once the head has arrived. The body is limited by its reader.
-    pub(super) fn head_arrived(&self) {
-        self.0.store(usize::MAX, Ordering::Release);
+    /// Limits what is read until the next piece of the body to [`MAX_UNDELIVERED_BYTES`], after the head
+    /// or a piece has arrived. The pieces are limited by their reader.
+    pub(super) fn await_piece(&self) {
+        self.0.store(MAX_UNDELIVERED_BYTES, Ordering::Release);
     }
 }
 
@@ -52,7 +56,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.allowance.0.load(Ordering::Acquire) == 0 {
-            return Poll::Ready(Err(io::Error::other("the head of the response is too long")));
+            return Poll::Ready(Err(io::Error::other(
+                "too many bytes without a head or a piece of a body",
+            )));
         }
         let filled = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
