Expired departures of other members are removed with each new one

Cause: they were removed only once 4,096 hosts had some, so they took memory for longer than the 30 s for which they bind. Change: each new departure removes what has expired.

--- a/crates/core/src/membership/member_departures.rs
+++ b/crates/core/src/membership/member_departures.rs
@@ -33,24 +33,21 @@
 impl MemberDepartures {
     /// Records a departure that the node of a host acknowledged; returns whether it is new.
     ///
-    /// `unix_ms` is the Unix time, in milliseconds, by which departures may have expired.
+    /// Removes those that have expired by the Unix time `unix_ms`, in milliseconds.
     pub fn record(&mut self, host: &HostName, departure: &RecordedDeparture, unix_ms: u64) -> bool {
-        if departure.time_left(unix_ms).is_none() {
+        let is_known = |other: &RecordedDeparture| {
+            other.instance == departure.instance && other.unix_ms >= departure.unix_ms
+        };
+        if departure.time_left(unix_ms).is_none()
+            || self.by_host.get(host).is_some_and(|known| known.iter().any(is_known))
+        {
             return false;
         }
-        if self.by_host.len() >= MAX_HOSTS && !self.by_host.contains_key(host) {
-            self.expire(unix_ms);
-        }
+        self.expire(unix_ms);
         if self.by_host.len() >= MAX_HOSTS && !self.by_host.contains_key(host) {
             return false;
         }
         let known = self.by_host.entry(host.clone()).or_default();
-        let is_known = |other: &RecordedDeparture| {
-            other.instance == departure.instance && other.unix_ms >= departure.unix_ms
-        };
-        if known.iter().any(is_known) {
-            return false;
-        }
         known.retain(|other| other.instance != departure.instance);
         known.push(departure.clone());
         known.drain(..known.len().saturating_sub(MAX_PER_HOST));
@@ -66,8 +63,7 @@
             .collect()
     }
 
-    /// Removes the departures that have expired by the Unix time `unix_ms`, in milliseconds.
-    pub fn expire(&mut self, unix_ms: u64) {
+    fn expire(&mut self, unix_ms: u64) {
         self.by_host.retain(|_, departures| {
             departures.retain(|departure| departure.time_left(unix_ms).is_some());
             !departures.is_empty()
