Control thread: the order of the watchers has a file of its own

Change: their timers and messages move to watchers.rs, without a change of behaviour. Result: change_is_in_force_in_time_though_the_store_turns_all_watchers_away and the node's unit tests pass.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 mod thread;
+mod watchers;
 
 pub(crate) use state::ControlState;
 pub(crate) use thread::{ControlThread, apply_config_delta};
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -16,11 +16,10 @@
     self, ConfigNotification, ConfigNotificationResponse, ConfigRequest, ConfigResponse,
     DirectoryRequest, ProbeRequest, ProbeViaRequest, SyncRequest,
 };
-use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::rpc_client::{RpcError, call};
-use super::rpc_server;
+use super::{rpc_server, watchers};
 use crate::NodeError;
 use crate::clock::unix_seconds;
 use crate::shared::Shared;
@@ -37,16 +36,6 @@
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Number of members that are tried, one after the other, for each notification.
 const NOTIFICATION_ATTEMPTS: usize = 4;
-/// Ticks between two checks of the member before this node in the order of the watchers. With the
-/// time limits of two checks, the watchers are replaced within 1.2 s.
-const WATCH_CHECK_TICKS: u64 = 5;
-/// Number of members that are checked at once after one did not respond.
-const WATCH_CHECK_FAN_OUT: usize = 16;
-/// Number of members after this node in the order of the watchers that are notified when it loses the
-/// store.
-const STORE_LOSS_FAN_OUT: usize = 8;
-/// Ticks between two such notifications while the store is lost.
-const STORE_LOSS_TICKS: u64 = 10;
 /// Ticks between two pulls of the configuration from another zone by a watcher.
 const ZONE_PULL_TICKS: u64 = 50;
 /// Ticks between two such pulls while the watcher cannot reach the store or no configuration is in
@@ -104,25 +93,12 @@
     for DirectoryAction::Pull { zone, from, query } in pulls {
         tokio::spawn(pull_directory(Arc::clone(shared), zone, from, query));
     }
-    let (lost_store, has_changed, has_config) = {
-        let mut control = shared.control();
-        let has_changed = control.update_store_losses(now);
-        (control.has_lost_store(), has_changed, control.config().revision() > 0)
-    };
-    if has_changed {
-        log::info!(lost_store; "members after this one in the order of watchers are notified");
-    }
-    if has_changed || (lost_store && ticks.is_multiple_of(STORE_LOSS_TICKS)) {
-        notify_watch_successors(shared);
-    }
-    let without_store = lost_store || !has_config;
+    let lost_store = watchers::tick(shared, ticks);
+    let without_store = lost_store || shared.control().config().revision() == 0;
     let pull_ticks = if without_store { ZONE_PULL_TICKS_WITHOUT_STORE } else { ZONE_PULL_TICKS };
     if ticks.is_multiple_of(pull_ticks) {
         pull_from_remote_zone(shared);
     }
-    if ticks.is_multiple_of(WATCH_CHECK_TICKS) {
-        tokio::spawn(check_watch_predecessors(Arc::clone(shared)));
-    }
     publish_snapshot(shared);
     notify_members(shared);
 }
@@ -437,7 +413,7 @@
 }
 
 /// Exchanges gossip with a member of the zone; returns whether it responded in time.
-async fn gossip_to_member(shared: &Arc<Shared>, to: SocketAddr) -> bool {
+pub(super) async fn gossip_to_member(shared: &Arc<Shared>, to: SocketAddr) -> bool {
     let message = shared.control().gossip_message();
     let response = call(shared, to, control::PROBE, ProbeRequest { message });
     match timeout(MEMBER_TIMEOUT, response).await {
@@ -449,49 +425,6 @@
     }
 }
 
-/// Checks the member before this node in the order of the watchers and, if it does not respond, those
-/// further ahead, until one responds or this node is a watcher itself.
-async fn check_watch_predecessors(shared: Arc<Shared>) {
-    let mut count = 1;
-    loop {
-        let ahead = shared.control().watch_predecessors(count);
-        if ahead.is_empty() {
-            return;
-        }
-        let mut checks: JoinSet<bool> = ahead
-            .into_iter()
-            .map(|member| {
-                let shared = Arc::clone(&shared);
-                async move {
-                    let responded = gossip_to_member(&shared, member.control).await;
-                    if !responded {
-                        shared.control().record_unresponsive(&member.host);
-                    }
-                    responded
-                }
-            })
-            .collect();
-        let mut responded = false;
-        while let Some(result) = checks.join_next().await {
-            responded |= result.unwrap_or(false);
-        }
-        if responded {
-            return;
-        }
-        count = WATCH_CHECK_FAN_OUT;
-    }
-}
-
-/// Notifies the next members in the order of the watchers whether this node has lost the store, for
-/// whoever has to watch in its place.
-fn notify_watch_successors(shared: &Arc<Shared>) {
-    let successors = shared.control().watch_successors(STORE_LOSS_FAN_OUT);
-    for member in successors {
-        let shared = Arc::clone(shared);
-        tokio::spawn(async move { gossip_to_member(&shared, member.control).await });
-    }
-}
-
 /// Pulls the configuration from another zone if this node is a watcher or has no configuration. A
 /// zone that can reach other zones but not the store gets its configuration this way.
 fn pull_from_remote_zone(shared: &Arc<Shared>) {
