--- a/review/standins-3/departures.rs
+++ b/review/standins-3/departures.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Load, sleep_until};
+use crate::deployment::{Deployment, Load, TWO_ZONES, sleep_until};
 use crate::machine::{HEARTBEAT, Machine};
 use crate::record::Record;
 
@@ -15,7 +15,11 @@
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// `StableWindow` of the small sites.
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
-const LOAD: Load = Load { interval: Duration::from_millis(50), work: Duration::from_millis(15) };
+const LOAD: Load = Load {
+    interval: Duration::from_millis(50),
+    work: Duration::from_millis(15),
+    unique_bodies: false,
+};
 
 /// An instance reports that it drains; a heartbeat from before arrives late.
 pub fn forgotten_draining(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
@@ -23,7 +27,7 @@
     const LATE: Duration = Duration::from_millis(7_500);
     /// How long the instance serves after the acknowledgement.
     const STAY: Duration = Duration::from_secs(15);
-    let Some(deployment) = Deployment::start(1, LOAD, scratch, record) else {
+    let Some(deployment) = Deployment::start(TWO_ZONES, 1, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let instance = Arc::clone(&deployment.instances[0]);
@@ -66,7 +70,7 @@
     /// How late the last heartbeat before the departure arrives.
     const LATE: Duration = Duration::from_millis(5_500);
     const STAY: Duration = Duration::from_secs(12);
-    let Some(mut deployment) = Deployment::start(2, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(TWO_ZONES, 2, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let instance = Arc::clone(&deployment.instances[0]);
--- a/review/standins-3/machine.rs
+++ b/review/standins-3/machine.rs
@@ -12,13 +12,14 @@
 /// Interval of the heartbeats of an instance, as in the settings of the small sites.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
-/// Zones of the deployment, with their regions.
-pub const ZONES: [(&str, &str); 2] = [("gauteng-a", "gauteng"), ("gauteng-b", "gauteng")];
+/// Zones of a deployment, with their regions.
+pub type Zones = &'static [(&'static str, &'static str)];
 
 /// A machine with one instance and its node.
 pub struct Machine {
     pub name: String,
     pub zone: &'static str,
+    zones: Zones,
     pub service: &'static str,
     ip: Ipv4Addr,
     /// Second port of the range; the node also uses it at 127.0.0.1.
@@ -33,6 +34,7 @@
     pub fn new(
         index: u8,
         zone: &'static str,
+        zones: Zones,
         service: &'static str,
         store: SocketAddr,
         folder: &Path,
@@ -41,7 +43,17 @@
         let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind a free port");
         let last_port = probe.local_addr().expect("address of a bound listener").port();
         let name = format!("sidecar-{zone}-{index}");
-        Machine { name, zone, service, ip, last_port, store, folder: folder.into(), node: None }
+        Machine {
+            name,
+            zone,
+            zones,
+            service,
+            ip,
+            last_port,
+            store,
+            folder: folder.into(),
+            node: None,
+        }
     }
 
     /// Address at which the instance serves.
@@ -121,11 +133,11 @@
         let mut text = template.to_owned();
         for (name, entries) in [
             ("AppAddr", vec![(String::new(), self.instance().to_string())]),
-            ("Zones", ZONES.iter().map(|(z, r)| (z.to_string(), r.to_string())).collect()),
+            ("Zones", self.zones.iter().map(|(z, r)| (z.to_string(), r.to_string())).collect()),
         ] {
             text = fill_in_section(&text, name, &entries);
         }
-        let region = ZONES.iter().find(|(zone, _)| *zone == self.zone).map_or("", |(_, r)| r);
+        let region = self.zones.iter().find(|(zone, _)| *zone == self.zone).map_or("", |(_, r)| r);
         let first_port = self.last_port - 15;
         for (name, value) in [
             ("NodeId", self.name.clone()),
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,6 +7,7 @@
 mod instance;
 mod json;
 mod machine;
+mod poison;
 mod record;
 mod refusals;
 mod store;
@@ -44,6 +45,7 @@
         "forgotten-draining" => departures::forgotten_draining(&scratch, &record, trouble),
         "unsaved-departure" => departures::unsaved_departure(&scratch, &record, trouble),
         "cut-while-leaving" => streams::cut_while_leaving(&scratch, &record, trouble),
+        "hidden-quarantine" => poison::hidden_quarantine(&scratch, &record, trouble),
         "repeated-refusal" => refusals::repeated_refusal(&scratch, &record, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -9,13 +9,17 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Load, start_heartbeats};
+use crate::deployment::{Deployment, Load, TWO_ZONES, start_heartbeats};
 use crate::http::{self, Message};
 use crate::instance::Instance;
 use crate::machine::{HEARTBEAT, wait_until};
 use crate::record::Record;
 
-const LOAD: Load = Load { interval: Duration::from_millis(100), work: Duration::from_millis(15) };
+const LOAD: Load = Load {
+    interval: Duration::from_millis(100),
+    work: Duration::from_millis(15),
+    unique_bodies: false,
+};
 /// Id of the instance that streams its responses.
 const STREAMER: &str = "i-3";
 /// Pieces of a response, the length of each, and the time between two of them.
@@ -82,7 +86,7 @@
 
 /// An instance that has reported that it drains is killed while it streams responses.
 pub fn cut_while_leaving(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(1, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(TWO_ZONES, 1, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     // The streaming instance takes the place of the first one.
