--- a/review/standins-3/departures.rs
+++ b/review/standins-3/departures.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Load, TWO_ZONES, sleep_until};
+use crate::deployment::{Deployment, FOUR_ZONES, Load, TWO_ZONES, sleep_until};
 use crate::machine::{HEARTBEAT, Machine};
 use crate::record::Record;
 
@@ -27,7 +27,7 @@
     const LATE: Duration = Duration::from_millis(7_500);
     /// How long the instance serves after the acknowledgement.
     const STAY: Duration = Duration::from_secs(15);
-    let Some(deployment) = Deployment::start(TWO_ZONES, 1, LOAD, scratch, record) else {
+    let Some(deployment) = Deployment::start(FOUR_ZONES, 1, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let instance = Arc::clone(&deployment.instances[0]);
--- a/review/standins-3/machine.rs
+++ b/review/standins-3/machine.rs
@@ -121,8 +121,7 @@
     }
 
     /// Sends SIGTERM to the node.
-    #[allow(dead_code)]
-    pub fn terminate(&mut self) {
+    pub fn terminate(&self) {
         if let Some(node) = &self.node {
             let _ = Command::new("kill").arg("-TERM").arg(node.id().to_string()).status();
         }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -44,7 +44,7 @@
     let verdict = match case.as_str() {
         "forgotten-draining" => departures::forgotten_draining(&scratch, &record, trouble),
         "unsaved-departure" => departures::unsaved_departure(&scratch, &record, trouble),
-        "cut-while-leaving" => streams::cut_while_leaving(&scratch, &record, trouble),
+        "cut-while-stopping" => streams::cut_while_stopping(&scratch, &record, trouble),
         "hidden-quarantine" => poison::hidden_quarantine(&scratch, &record, trouble),
         "repeated-refusal" => refusals::repeated_refusal(&scratch, &record, trouble),
         _ => Verdict::NotRun,
--- a/review/standins-3/poison.rs
+++ b/review/standins-3/poison.rs
@@ -10,10 +10,10 @@
 use crate::instance::Instance;
 use crate::record::Record;
 
-/// 32 orders a second at all four machines together.
-const LOAD: Load = Load { interval: Duration::from_millis(125), work: WORK, unique_bodies: true };
+/// 32 orders a second at all eight machines together.
+const LOAD: Load = Load { interval: Duration::from_millis(250), work: WORK, unique_bodies: true };
 /// The interval between two orders at one machine during a burst: 80 orders a second at all.
-const BURST_INTERVAL: Duration = Duration::from_millis(50);
+const BURST_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that an instance works on an order.
 const WORK: Duration = Duration::from_millis(290);
 /// The same while the instance is slow.
@@ -23,9 +23,9 @@
 /// Time after a crash until an instance is back.
 const DOWN: Duration = Duration::from_secs(3);
 /// Number of crashes before the poisonous request comes.
-const CRASHES: usize = 6;
+const CRASHES: usize = 10;
 /// Time from one of these crashes to the next.
-const CRASH_INTERVAL: Duration = Duration::from_millis(5_500);
+const CRASH_INTERVAL: Duration = Duration::from_millis(3_500);
 /// Number of poisonous requests, one after the other.
 const POISONS: usize = 2;
 /// How often the caller of each sends it, and the time between.
@@ -81,7 +81,7 @@
 
 /// After some crashes of instances, a request comes that crashes each instance which runs it.
 pub fn hidden_quarantine(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(FOUR_ZONES, 1, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(FOUR_ZONES, 2, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let count = deployment.machines.len();
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -1,4 +1,4 @@
-//! Case about a response without a length whose instance dies while it leaves.
+//! Case about a response without a length whose instance dies while its node is being stopped.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Load, TWO_ZONES, start_heartbeats};
+use crate::deployment::{Deployment, FOUR_ZONES, Load, start_heartbeats};
 use crate::http::{self, Message};
 use crate::instance::Instance;
 use crate::machine::{HEARTBEAT, wait_until};
@@ -27,7 +27,7 @@
 const PIECE_BYTES: usize = 1_000;
 const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of downloads in progress when the instance dies.
-const DOWNLOADS: usize = 8;
+const DOWNLOADS: usize = 16;
 
 /// Serves at `addr` as an instance that streams each response without a length, until it is killed.
 pub fn serve(addr: SocketAddr) {
@@ -84,9 +84,9 @@
     }
 }
 
-/// An instance that has reported that it drains is killed while it streams responses.
-pub fn cut_while_leaving(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(TWO_ZONES, 1, LOAD, scratch, record) else {
+/// An instance is killed while it streams responses and its node is being stopped.
+pub fn cut_while_stopping(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let Some(mut deployment) = Deployment::start(FOUR_ZONES, 2, LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     // The streaming instance takes the place of the first one.
@@ -109,11 +109,8 @@
         })
         .collect();
     thread::sleep(PIECE_INTERVAL * 2);
-    deployment.stop_heartbeats(0);
-    let draining = instance.heartbeat("draining");
-    if !instance.send("heartbeat", &draining) {
-        return Verdict::NotRun;
-    }
+    record.add(&format!("{} gets SIGTERM", deployment.machines[0].name));
+    deployment.machines[0].terminate();
     thread::sleep(PIECE_INTERVAL * 3);
     if trouble {
         record.add(&format!("{STREAMER} is killed"));
