--- a/review/standins-3/departures.rs
+++ b/review/standins-3/departures.rs
@@ -27,7 +27,7 @@
     const LATE: Duration = Duration::from_millis(7_500);
     /// How long the instance serves after the acknowledgement.
     const STAY: Duration = Duration::from_secs(15);
-    let Some(deployment) = Deployment::start(FOUR_ZONES, 1, LOAD, scratch, record) else {
+    let Some(deployment) = Deployment::start(FOUR_ZONES, &[1; 4], LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let instance = Arc::clone(&deployment.instances[0]);
@@ -70,7 +70,7 @@
     /// How late the last heartbeat before the departure arrives.
     const LATE: Duration = Duration::from_millis(5_500);
     const STAY: Duration = Duration::from_secs(12);
-    let Some(mut deployment) = Deployment::start(TWO_ZONES, 2, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(TWO_ZONES, &[2, 2], LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let instance = Arc::clone(&deployment.instances[0]);
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -58,10 +58,10 @@
 }
 
 impl Deployment {
-    /// Starts the deployment with this many machines in each zone; `None` if it does not serve.
+    /// Starts the deployment with these numbers of machines in its zones; `None` if it does not serve.
     pub fn start(
         zones: Zones,
-        per_zone: u8,
+        per_zone: &[u8],
         load: Load,
         scratch: &Path,
         record: &Arc<Record>,
@@ -70,8 +70,8 @@
         let store = Store::start(store_addr);
         store.write("op/config", CONFIG.as_bytes());
         let mut machines = Vec::new();
-        for (zone, _) in zones {
-            for _ in 0..per_zone {
+        for ((zone, _), count) in zones.iter().zip(per_zone) {
+            for _ in 0..*count {
                 let index = machines.len() as u8 + 1;
                 machines.push(Machine::new(index, zone, zones, "orders", store_addr, scratch));
             }
--- a/review/standins-3/machine.rs
+++ b/review/standins-3/machine.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -40,8 +41,7 @@
         folder: &Path,
     ) -> Machine {
         let ip = loopback(index);
-        let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind a free port");
-        let last_port = probe.local_addr().expect("address of a bound listener").port();
+        let last_port = free_port();
         let name = format!("sidecar-{zone}-{index}");
         Machine {
             name,
@@ -182,6 +182,21 @@
     format!("{before}{rendered}{after}")
 }
 
+/// Returns a port of 127.0.0.1 that is free and not returned before. It is below the range that the
+/// system takes for outgoing connections.
+fn free_port() -> u16 {
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 18_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 64 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = (FIRST + number % COUNT) as u16;
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Returns a loopback address that only this process uses.
 pub fn loopback(index: u8) -> Ipv4Addr {
     // Process ids have at most 22 bits; the first 6 of them rarely differ.
--- a/review/standins-3/poison.rs
+++ b/review/standins-3/poison.rs
@@ -81,7 +81,7 @@
 
 /// After some crashes of instances, a request comes that crashes each instance which runs it.
 pub fn hidden_quarantine(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(FOUR_ZONES, 2, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(FOUR_ZONES, &[2; 4], LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let count = deployment.machines.len();
--- a/review/standins-3/refusals.rs
+++ b/review/standins-3/refusals.rs
@@ -32,7 +32,7 @@
 /// The node of one machine is killed now and then; the instance of the other machine refuses a part of
 /// the requests for a moment then, and writes some of the refusals once more.
 pub fn repeated_refusal(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(TWO_ZONES, 1, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(TWO_ZONES, &[1, 1], LOAD, scratch, record) else {
         return Verdict::NotRun;
     };
     let faulty = Arc::clone(&deployment.instances[0]);
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -86,7 +86,8 @@
 
 /// An instance is killed while it streams responses and its node is being stopped.
 pub fn cut_while_stopping(scratch: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(FOUR_ZONES, 2, LOAD, scratch, record) else {
+    let Some(mut deployment) = Deployment::start(FOUR_ZONES, &[1, 3, 2, 2], LOAD, scratch, record)
+    else {
         return Verdict::NotRun;
     };
     // The streaming instance takes the place of the first one.
