--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,4 +1,4 @@
-//! Runs a case of the review: `review-3 CASE FOLDER`. Exits with 1 if a rule was broken, with 0 if it
+//! Runs a case of the review: `review-3 CASE FOLDER [TROUBLE]`. Exits with 1 if a rule was broken, with 0 if it
 //! held, and with 2 if the case could not run.
 
 mod departures;
@@ -26,7 +26,7 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (args.get(1), args.get(2).map(PathBuf::from)) else {
-        eprintln!("usage: review-3 CASE FOLDER");
+        eprintln!("usage: review-3 CASE FOLDER [TROUBLE]");
         return ExitCode::from(2);
     };
     if case == "streaming-instance" {
@@ -35,12 +35,13 @@
         }
         return ExitCode::from(2);
     }
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = args.get(3).is_none_or(|switch| switch != "0");
     let scratch = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
     if std::fs::create_dir_all(&scratch).is_err() {
         return ExitCode::from(2);
     }
     let record = std::sync::Arc::new(record::Record::new());
+    record.add(if trouble { "with the disruption" } else { "without the disruption" });
     let verdict = match case.as_str() {
         "forgotten-draining" => departures::forgotten_draining(&scratch, &record, trouble),
         "unsaved-departure" => departures::unsaved_departure(&scratch, &record, trouble),
