traffic: a request never comes back to a connection that refused it

Cause: the pool passed over a connection only if its last request had the same id. After one request in between, a refused request could come back to the connection, and a late copy of its refusal, which names it, was taken for the response to the new try.

Bytes on idle connections and responses that name another request were ruled out, as both close the connection.

Change: a connection remembers the ids of all requests whose response was no success, and is passed over for them. With more than 64 it is closed, so none is forgotten. It works because a copy can only arrive on the connection that carried the request, and that connection never carries it again.

--- a/crates/node/src/traffic/gate.rs
+++ b/crates/node/src/traffic/gate.rs
@@ -374,9 +374,12 @@
     );
     // A mismatched response may belong to another request. The connection is then out of sync and
     // must not be reused.
-    if let Some(connection) =
+    if let Some(mut connection) =
         buffered.connection.take().filter(|_| kind != ResponseKind::Mismatched)
     {
+        if kind != ResponseKind::Complete || !buffered.status.is_success() {
+            connection.record_retryable();
+        }
         traffic.pool.return_connection(connection);
     }
     // These responses may come from another upstream.
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use snipehollow_core::class::Repeat;
-use snipehollow_core::collections::FastMap;
+use snipehollow_core::collections::{FastMap, FastSet};
 use snipehollow_core::ids::RequestId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -36,6 +36,10 @@
 /// Idle time after which a connection is closed.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Maximum number of requests to send again that a connection remembers; with more it is closed. It
+/// bounds the memory, and a new connection for so many responses costs little.
+const MAX_RETRYABLE_IDS: usize = 64;
+
 /// Maximum idle time of a connection for a request that must be sent only once. The other end may
 /// close a connection that was idle for longer just as the request is being sent.
 const MAX_IDLE_TIME_RECENT: Duration = Duration::from_millis(250);
@@ -86,6 +90,8 @@
     /// Id of the last request that was sent on it; `None` before the first, and if that request had
     /// no id.
     last_id: Option<RequestId>,
+    /// Ids of earlier requests on it that may be sent again, because their response was no success.
+    retryable_ids: FastSet<RequestId>,
 }
 
 /// Why sending a request failed.
@@ -104,8 +110,8 @@
     /// Takes the most recently used connection to the address that is ready, if `reuse` permits
     /// its idle time.
     ///
-    /// Passes over connections whose last request had the same id: if the other end writes its
-    /// earlier response again, that copy would be taken for the response to this try.
+    /// Passes over connections that may have carried a request with the same id: if the other end
+    /// writes its earlier response again, that copy would be taken for the response to this try.
     pub(crate) fn take(
         &self,
         addr: SocketAddr,
@@ -118,7 +124,7 @@
         let is_usable = |entry: &IdleConnection| {
             entry.connection.sender.is_ready()
                 && entry.idle_since.elapsed() < max_idle
-                && (id.is_none() || entry.connection.last_id.as_ref() != id)
+                && id.is_none_or(|id| !entry.connection.has_carried(id))
         };
         let found = list.iter().rposition(is_usable)?;
         Some(list.remove(found).connection)
@@ -144,12 +150,14 @@
             // The request on the connection receives the error too.
             let _ = driver.await;
         });
-        Ok(Connection { addr, sender, allowance, last_id: None })
+        Ok(Connection { addr, sender, allowance, last_id: None, retryable_ids: FastSet::default() })
     }
 
     /// Returns a connection to the pool after its response was read to the end.
+    ///
+    /// Closes one that has carried too many requests that may be sent again.
     pub(crate) fn return_connection(&self, connection: Connection) {
-        if connection.is_closed() {
+        if connection.is_closed() || connection.retryable_ids.len() > MAX_RETRYABLE_IDS {
             return;
         }
         let mut idle = self.lock();
@@ -182,6 +190,17 @@
         self.sender.is_closed()
     }
 
+    /// Records that the last request may be sent again. This connection must not carry it then,
+    /// whatever it has carried in between.
+    pub(crate) fn record_retryable(&mut self) {
+        self.retryable_ids.extend(self.last_id.take());
+    }
+
+    /// Returns whether the connection may have carried an earlier try of the request.
+    fn has_carried(&self, id: &RequestId) -> bool {
+        self.last_id.as_ref() == Some(id) || self.retryable_ids.contains(id)
+    }
+
     /// Returns the limit on what is read from the connection.
     pub(super) fn allowance(&self) -> ReadAllowance {
         self.allowance.clone()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -74,7 +74,9 @@
     "if self.response_id(map) != Some(request.id.as_str()) {" "if false {" \
     snipehollow-platform protocol
 mutate "connection carries the same request twice" crates/node/src/traffic/pool.rs \
-    "&& (id.is_none() || entry.connection.last_id.as_ref() != id)" "" snipehollow-platform nodes
+    "&& id.is_none_or(|id| !entry.connection.has_carried(id))" "" snipehollow-platform nodes
+mutate "refused request comes back to its connection" crates/node/src/traffic/pool.rs \
+    " || self.retryable_ids.contains(id)" "" snipehollow-platform nodes
 mutate "try sent after its deadline" crates/node/src/host/tries.rs \
     "if now >= call.deadline {" "if false {" snipehollow-node lib
 mutate "try sent to an upstream that left" crates/node/src/host/tries.rs \
