host: after a start, only a health check or 10 s make an announcement believed

Cause: a departure is acknowledged although the store is out of reach. If all nodes are then killed and the store is back before they are, the list of departures can be read but lacks it, and the node took the list for complete. A late announcement from before the departure was believed.

Change: where upstreams have health checks, a started process holds announcements of an upstream that it does not know until a check shows that it serves, or until 10 s have passed and no earlier announcement can arrive. The check precedes the acknowledgement of the announcement. It works because the upstream itself is the only one left that knows of its departure.

A related fault showed: an upstream found by a health check stayed unused although it had taken back that it drains, because that departure was treated as final. Only a final one is now.

--- a/crates/node/src/adapters/protocol.rs
+++ b/crates/node/src/adapters/protocol.rs
@@ -216,6 +216,12 @@
         false
     }
 
+    /// Returns whether health checks show that an upstream serves and is not leaving. Upstreams of a
+    /// restarted node are then used only after one, because the node may have forgotten a departure.
+    fn has_health_checks(&self) -> bool {
+        false
+    }
+
     /// Reads an upstream's response to a health check. Returns its instance id if the upstream
     /// serves and identifies itself.
     fn read_health(&self, _status: StatusCode, _map: &HeaderMap) -> Option<InstanceId> {
--- a/crates/node/src/host/announcements.rs
+++ b/crates/node/src/host/announcements.rs
@@ -23,7 +23,7 @@
 pub(super) enum EarlierDepartures {
     /// They have not been read from the store.
     Unread,
-    /// They could not be read at first, so the store may lack those of the time before.
+    /// Those that could not be saved before this process started are missing in the store.
     Incomplete,
     /// All that may still matter are known.
     Known,
@@ -62,9 +62,14 @@
             self.held_announcement = Some(announcement.clone());
             return self.upstream_info(now);
         }
-        let departed = announcement.instance.as_ref().is_some_and(|id| {
-            self.departures.has_departed(now, id, announcement.start, announcement.sequence)
-        });
+        let has_departed = |sequence| {
+            announcement.instance.as_ref().is_some_and(|id| {
+                self.departures.has_departed(now, id, announcement.start, sequence)
+            })
+        };
+        let departed = has_departed(announcement.sequence);
+        // No later announcement takes it back.
+        let departed_finally = has_departed(u64::MAX);
         if !same_process {
             decisions::log_upstream_instance(announcement);
             self.remove_upstream(now);
@@ -75,7 +80,7 @@
         let upstream = self.upstream.as_mut()?;
         if upstream.start == UNKNOWN_PROCESS_START {
             // The announcement may come from a later process with the same id.
-            upstream.said_leaving = departed;
+            upstream.said_leaving = departed_finally;
         }
         upstream.apply_announcement(now, announcement);
         if departed || upstream.said_leaving {
@@ -147,9 +152,16 @@
         std::mem::take(&mut self.unsaved_departures)
     }
 
-    /// Makes announcements of unknown upstreams wait until [`HostState::restore_departures`].
-    pub(crate) fn await_departures(&mut self) {
-        self.earlier_departures = EarlierDepartures::Unread;
+    /// Makes announcements of unknown upstreams wait until [`HostState::confirm_upstream`], or until
+    /// [`HostState::restore_departures`] if upstreams have no health checks.
+    ///
+    /// The store is no proof that there was no departure: the earlier process may have ended before
+    /// it could save one.
+    pub(crate) fn await_departures(&mut self, has_health_checks: bool) {
+        self.earlier_departures = match has_health_checks {
+            true => EarlierDepartures::Incomplete,
+            false => EarlierDepartures::Unread,
+        };
     }
 
     /// Records that the departures could not be read from the store. Those that were acknowledged
@@ -161,7 +173,8 @@
     }
 
     /// Restores the departures that were saved before this process started, and applies the
-    /// announcement that waited for them unless others may be missing.
+    /// announcement that waited for them unless others may be missing. Marks the current upstream as
+    /// leaving if it is one that departed.
     ///
     /// Returns the state of the upstream to advertise to the other members.
     pub(crate) fn restore_departures(
@@ -170,7 +183,7 @@
         departures: Vec<RecordedDeparture>,
     ) -> Option<UpstreamInfo> {
         for departure in departures {
-            self.departures.restore(now, departure, unix_millis());
+            self.learn_departure(now, departure);
         }
         if self.earlier_departures == EarlierDepartures::Incomplete {
             return self.upstream_info(now);
@@ -179,8 +192,8 @@
         self.apply_held_announcement(now)
     }
 
-    /// Restores a departure that another member kept, and marks the current upstream as leaving if it
-    /// is the one that departed.
+    /// Restores a departure that the store or another member kept, and marks the current upstream as
+    /// leaving if it is the one that departed.
     pub(crate) fn learn_departure(&mut self, now: Timestamp, departure: RecordedDeparture) {
         let is_final = departure.sequence.is_none();
         let departed = departure.instance.clone();
@@ -196,7 +209,7 @@
         {
             return;
         }
-        log::info!(instance = departed.as_str(); "another member knows that the upstream is leaving");
+        log::info!(instance = departed.as_str(); "upstream departed before this process started");
         upstream.said_leaving |= is_final;
         upstream.info.state = UpstreamState::Leaving;
         let actions = upstream.gate.mark_leaving();
--- a/crates/node/src/host/tests.rs
+++ b/crates/node/src/host/tests.rs
@@ -152,10 +152,20 @@
 fn restarted_host() -> HostState {
     let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
     let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
-    host.await_departures();
+    host.await_departures(false);
     host
 }
 
+/// Returns a departure of an upstream process, told by the announcement with this sequence number.
+fn departure(start: u64, sequence: Option<u64>) -> RecordedDeparture {
+    RecordedDeparture {
+        instance: InstanceId::new("i-1").unwrap(),
+        start: Some(start),
+        sequence,
+        unix_ms: unix_millis(),
+    }
+}
+
 /// Guards against requests to an instance whose departure was acknowledged before a restart, in the
 /// time until the departures have been read.
 #[test]
@@ -170,13 +180,7 @@
 
     let mut host = restarted_host();
     host.handle_announcement(now, &serving);
-    let departure = RecordedDeparture {
-        instance: InstanceId::new("i-1").unwrap(),
-        start: Some(1),
-        sequence: None,
-        unix_ms: unix_millis(),
-    };
-    host.restore_departures(now, vec![departure]);
+    host.restore_departures(now, vec![departure(1, None)]);
     assert_eq!(host.unavailability(now, &service()), Some(Reason::Leaving));
 }
 
@@ -232,18 +236,61 @@
     assert_eq!(host.unavailability(now, &service()), None, "its health check shows that it serves");
 }
 
+/// Guards against an upstream that is not used again after it has taken back that it leaves, because a
+/// health check found it before its announcements arrived.
+#[test]
+fn discovered_upstream_that_takes_its_departure_back_is_used() {
+    let now = Timestamp::from_millis(1);
+    let mut host = restarted_host();
+    host.restore_departures(now, vec![departure(1, Some(7))]);
+    let discovered =
+        Announcement { start: UNKNOWN_PROCESS_START, ..announcement(0, UpstreamState::Serving) };
+    host.confirm_upstream(now, &discovered);
+    host.handle_announcement(now, &announcement(6, UpstreamState::Serving));
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::Leaving));
+    host.handle_announcement(now, &announcement(8, UpstreamState::Serving));
+    assert_eq!(host.unavailability(now, &service()), None);
+}
+
+/// Guards against requests to an upstream whose departure was never saved, because the earlier process
+/// ended while the store was out of reach: that the store can be read does not prove that there was
+/// none.
+#[test]
+fn announcement_waits_for_a_health_check_though_the_departures_were_read() {
+    let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
+    let now = Timestamp::from_millis(1);
+    let restarted = || {
+        let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
+        host.await_departures(true);
+        host.restore_departures(now, Vec::new());
+        host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
+        host
+    };
+    let mut host = restarted();
+    host.restore_departures(now, Vec::new());
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::NoUpstream));
+    host.handle_announcement(now, &announcement(8, UpstreamState::Serving));
+    assert_eq!(host.unavailability(now, &service()), Some(Reason::NoUpstream));
+
+    let mut host = restarted();
+    let discovered =
+        Announcement { start: UNKNOWN_PROCESS_START, ..announcement(0, UpstreamState::Serving) };
+    host.confirm_upstream(now, &discovered);
+    assert_eq!(host.unavailability(now, &service()), None, "its health check shows that it serves");
+    host.restore_departures(now, vec![departure(1, None)]);
+    assert_eq!(
+        host.unavailability(now, &service()),
+        Some(Reason::Leaving),
+        "it was saved after all"
+    );
+}
+
 /// Guards against a restarted node that uses an upstream until it leaves, although other members know
 /// that its departure was acknowledged.
 #[test]
 fn departure_that_another_member_knows_stops_the_upstream() {
     let settings = NodeSettings::parse("node.ini", SETTINGS).unwrap();
     let now = Timestamp::from_millis(1);
-    let departure = |start, sequence| RecordedDeparture {
-        instance: InstanceId::new("i-1").unwrap(),
-        start: Some(start),
-        sequence,
-        unix_ms: unix_millis(),
-    };
     let after = |departure, sequence| {
         let mut host = HostState::new(&settings, ProcessStartId(1), TicketKey::new([0; 32]), 1);
         host.handle_announcement(now, &announcement(7, UpstreamState::Serving));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -73,8 +73,9 @@
         let seed = random_u64()?;
         let control = ControlState::new(&settings, Incarnation(unix_millis()), seed);
         let mut host = new_host_state(&settings)?;
-        if adapters.store.is_some() {
-            host.await_departures();
+        let has_health_checks = adapters.protocol.has_health_checks();
+        if adapters.store.is_some() || has_health_checks {
+            host.await_departures(has_health_checks);
         }
         let configured_service = ArcSwap::from_pointee(settings.service.clone());
         Ok(Shared {
--- a/crates/node/src/traffic/upstream_listener.rs
+++ b/crates/node/src/traffic/upstream_listener.rs
@@ -47,9 +47,7 @@
         Ok(notice) => {
             apply_notice(shared, notice);
             departures::save(shared).await;
-            if shared.host().held_announcement().is_some() {
-                tokio::spawn(confirm_held_announcement(traffic.clone()));
-            }
+            confirm_held_announcement(&traffic).await;
             let (body, content_type) = shared.adapters.protocol.acknowledgement();
             let mut response = plain(StatusCode::OK, body);
             response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
--- a/crates/node/src/traffic/upstream_probe.rs
+++ b/crates/node/src/traffic/upstream_probe.rs
@@ -26,9 +26,6 @@
 const PROBE_PERIOD: Duration = Duration::from_secs(3);
 /// Interval between probes, and between checks for a configuration that does not exist yet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay before a held announcement is confirmed by a health check. Usually the earlier departures are
-/// read within it.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(300);
 /// Time limit for a health check; a busy upstream makes it wait for a slot.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of health checks per process start.
@@ -66,16 +63,15 @@
     }
 }
 
-/// Probes the local upstream once if its announcement is still held after a moment, because the store
-/// is or was out of reach.
-pub(super) async fn confirm_held_announcement(traffic: TrafficContext) {
-    tokio::time::sleep(CONFIRMATION_DELAY).await;
+/// Probes the local upstream once if its announcement is held. Returns within [`PROBE_TIMEOUT`], so that
+/// the acknowledgement of the announcement can wait for it.
+pub(super) async fn confirm_held_announcement(traffic: &TrafficContext) {
     let held = traffic.shared.host().held_announcement().cloned();
     let Some(held) = held else {
         return;
     };
-    if let Some(target) = ProbeTarget::of(&traffic, held.upstream.service) {
-        probe_and_confirm(&traffic, held.addr, &target).await;
+    if let Some(target) = ProbeTarget::of(traffic, held.upstream.service) {
+        probe_and_confirm(traffic, held.addr, &target).await;
     }
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -77,6 +77,10 @@
     "&& id.is_none_or(|id| !entry.connection.has_carried(id))" "" snipehollow-platform nodes
 mutate "refused request comes back to its connection" crates/node/src/traffic/pool.rs \
     " || self.retryable_ids.contains(id)" "" snipehollow-platform nodes
+mutate "announcement believed because the store can be read" crates/node/src/host/announcements.rs \
+    "true => EarlierDepartures::Incomplete" "true => EarlierDepartures::Unread" snipehollow-node lib
+mutate "departure that was taken back holds" crates/node/src/host/announcements.rs \
+    "upstream.said_leaving = departed_finally;" "upstream.said_leaving = departed;" snipehollow-node lib
 mutate "try sent after its deadline" crates/node/src/host/tries.rs \
     "if now >= call.deadline {" "if false {" snipehollow-node lib
 mutate "try sent to an upstream that left" crates/node/src/host/tries.rs \
