quarantine: zones are told all changes, page by page

Cause: a directory response carried the suspected and quarantined requests in the order of their fingerprints, cut to 64. With more of them the same 64 came with each pull, and a quarantined request with a higher fingerprint was never told to other zones.

Eviction was ruled out: a table keeps 1,024 entries and no quarantined one is evicted.

Change: each change of an entry has a number. A response carries the changes after the position that the query names, oldest first, at most 64, and the puller asks again at its next tick while more follow. A position counts only for the process that gave it. It works because every entry is reached after a number of pulls that only the number of changes sets.

--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -10,7 +10,7 @@
 use super::rendezvous::stable_hash;
 use crate::collections::FastMap;
 use crate::ids::{ServiceName, ZoneName};
-use crate::quarantine::QuarantineEntry;
+use crate::quarantine::{QuarantineChanges, QuarantineCursor, QuarantineEntry};
 use crate::rng::Rng;
 use crate::routing::Candidate;
 use crate::time::Timestamp;
@@ -77,6 +77,10 @@
         /// Services whose hosts are requested.
         #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub services: Vec<ServiceDigest>,
+        /// Changes of the zone's quarantine that the requesting node knows; `None` before the first
+        /// response.
+        #[serde(default)]
+        pub quarantine_cursor: Option<QuarantineCursor>,
     }
 
     /// Response to a [`DirectoryQuery`].
@@ -89,9 +93,16 @@
         /// Control addresses of members of the zone that later pulls may use.
         #[serde(deserialize_with = "crate::lenient::readable_entries")]
         pub contacts: Vec<SocketAddr>,
-        /// Suspected and quarantined requests that the responding node knows of.
+        /// Suspected and quarantined requests that the responding node knows of and that changed after
+        /// the cursor of the query.
         #[serde(default, deserialize_with = "crate::lenient::readable_entries")]
         pub quarantine: Vec<QuarantineEntry>,
+        /// Position after these changes; `None` from nodes that send no cursors.
+        #[serde(default)]
+        pub quarantine_cursor: Option<QuarantineCursor>,
+        /// Whether more changes of the quarantine follow.
+        #[serde(default)]
+        pub has_more_quarantine: bool,
     }
 
     /// Hosts of one service in one zone.
@@ -128,6 +139,8 @@
     next_pull: Timestamp,
     pull_count: u32,
     services: FastMap<ServiceName, Vec<Candidate>>,
+    /// Changes of the zone's quarantine that were received.
+    quarantine_cursor: Option<QuarantineCursor>,
 }
 
 /// Hosts of recently called services in the other zones.
@@ -164,6 +177,7 @@
             next_pull: Timestamp::ZERO,
             pull_count: 0,
             services: FastMap::default(),
+            quarantine_cursor: None,
         });
         for contact in contacts {
             if !entry.contacts.contains(contact) && entry.contacts.len() < MAX_CONTACTS {
@@ -270,7 +284,9 @@
         actions
     }
 
-    /// Applies the response to a pull from a zone.
+    /// Applies the response to a pull from a zone, whose quarantine entries the caller has merged.
+    ///
+    /// If more of them follow, the next pull is due at once.
     pub fn on_pull_response(&mut self, zone: &ZoneName, response: DirectoryResponse) {
         let Some(entry) = self.zones.get_mut(zone) else {
             return;
@@ -285,6 +301,10 @@
                 entry.contacts.push(contact);
             }
         }
+        entry.quarantine_cursor = response.quarantine_cursor;
+        if response.has_more_quarantine {
+            entry.next_pull = Timestamp::ZERO;
+        }
         let excess = entry.contacts.len().saturating_sub(MAX_CONTACTS);
         entry.contacts.drain(1..=excess);
         for changed in response.changed {
@@ -317,11 +337,12 @@
     /// Returns the response to a query, from the hosts in the zone of this node.
     ///
     /// `hosts_of` returns the hosts of a service, and `contacts` are sent along for later pulls.
-    /// The caller fills in the quarantine entries.
+    /// `quarantine` has the changes after the cursor of the query.
     pub fn respond(
         query: &DirectoryQuery,
         zone: &ZoneName,
         contacts: Vec<SocketAddr>,
+        quarantine: QuarantineChanges,
         hosts_of: impl Fn(&ServiceName) -> Vec<Candidate>,
     ) -> DirectoryResponse {
         let changed = query
@@ -331,7 +352,14 @@
             .filter(|(known, hosts)| Directory::digest(hosts) != known.digest)
             .map(|(known, hosts)| ServiceHosts { service: known.service.clone(), hosts })
             .collect();
-        DirectoryResponse { zone: zone.clone(), changed, contacts, quarantine: Vec::new() }
+        DirectoryResponse {
+            zone: zone.clone(),
+            changed,
+            contacts,
+            quarantine: quarantine.entries,
+            quarantine_cursor: Some(quarantine.cursor),
+            has_more_quarantine: quarantine.has_more,
+        }
     }
 
     /// Evicts the services that were not called recently.
@@ -373,6 +401,6 @@
                 ServiceDigest { service: service.clone(), digest: Directory::digest(known) }
             })
             .collect();
-        DirectoryQuery { services }
+        DirectoryQuery { services, quarantine_cursor: self.quarantine_cursor.clone() }
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -34,6 +34,24 @@
         /// Time until the entry expires, in milliseconds from when the message was sent.
         pub expires_in_ms: u64,
     }
+
+    /// Position in the changes of the quarantine of one process.
+    pub struct QuarantineCursor {
+        /// Random number of the process.
+        pub source: u64,
+        /// Number of its last change that is known.
+        pub change: u64,
+    }
+
+    /// Entries of the quarantine of one process that changed after a cursor, oldest change first.
+    pub struct QuarantineChanges {
+        /// Suspected and quarantined requests.
+        pub entries: Vec<QuarantineEntry>,
+        /// Position after these entries.
+        pub cursor: QuarantineCursor,
+        /// Whether more changes follow.
+        pub has_more: bool,
+    }
 }
 
 impl QuarantineEntry {
@@ -62,6 +80,8 @@
     clears: u32,
     lifts: u32,
     expires: Timestamp,
+    /// Number of the last change of the entry in this process.
+    change: u64,
 }
 
 /// Precedence of one state of a fingerprint over another. When nodes exchange differing states,
@@ -96,6 +116,9 @@
     /// suspects, because a request that completes does not crash upstreams.
     recently_completed: VecDeque<Fingerprint>,
     retention: Duration,
+    source: u64,
+    /// Number of changes so far.
+    change_count: u64,
 }
 
 impl Quarantine {
@@ -106,9 +129,17 @@
             running: FastMap::default(),
             recently_completed: VecDeque::new(),
             retention,
+            source: 0,
+            change_count: 0,
         }
     }
 
+    /// Sets the random number of this process, which tells its cursors from those of others.
+    pub fn with_source(mut self, source: u64) -> Quarantine {
+        self.source = source;
+        self
+    }
+
     /// Decides whether a request may run now.
     ///
     /// ```
@@ -150,7 +181,7 @@
             && !self.recently_completed.contains(&fingerprint)
         {
             let expires = now + self.retention;
-            self.insert(now, fingerprint, Entry { crashes: 1, clears: 0, lifts: 0, expires });
+            self.insert(now, fingerprint, Entry::suspected(expires));
         }
     }
 
@@ -221,6 +252,7 @@
             clears: message.clears,
             lifts: message.lifts,
             expires: now + expires_in,
+            change: 0,
         };
         if expires_in.is_zero() {
             return false;
@@ -228,7 +260,8 @@
         match self.entries.get_mut(&message.fingerprint) {
             Some(entry) if incoming.precedence() <= entry.precedence() => false,
             Some(entry) => {
-                *entry = incoming;
+                self.change_count += 1;
+                *entry = Entry { change: self.change_count, ..incoming };
                 true
             }
             None => self.insert(now, message.fingerprint, incoming),
@@ -263,6 +296,53 @@
         list
     }
 
+    /// Returns up to `max` entries that are suspected or quarantined and changed after `known`, or
+    /// from the first one on if `known` is a position in the changes of another process.
+    ///
+    /// ```
+    /// use snipehollow_core::ids::{Fingerprint, TryId};
+    /// use snipehollow_core::quarantine::Quarantine;
+    /// use snipehollow_core::time::Timestamp;
+    /// use std::time::Duration;
+    ///
+    /// let now = Timestamp::ZERO;
+    /// let mut quarantine = Quarantine::new(Duration::from_secs(600));
+    /// quarantine.start(TryId(1), Fingerprint(1));
+    /// quarantine.upstream_died(now);
+    /// let first = quarantine.changes_since(now, None, 10);
+    /// assert_eq!(first.entries.len(), 1);
+    /// assert!(quarantine.changes_since(now, Some(&first.cursor), 10).entries.is_empty());
+    /// ```
+    pub fn changes_since(
+        &self,
+        now: Timestamp,
+        known: Option<&QuarantineCursor>,
+        max: usize,
+    ) -> QuarantineChanges {
+        let known = known.filter(|known| known.source == self.source);
+        let known = known.map_or(0, |known| known.change);
+        let mut changed: Vec<(&Fingerprint, &Entry)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.crashes > 0 && entry.expires > now && entry.change > known)
+            .collect();
+        changed.sort_by_key(|(_, entry)| entry.change);
+        let has_more = changed.len() > max;
+        changed.truncate(max);
+        let last = changed.last().filter(|_| has_more).map(|(_, entry)| entry.change);
+        QuarantineChanges {
+            entries: changed
+                .into_iter()
+                .map(|(fingerprint, entry)| entry.to_message(*fingerprint, now))
+                .collect(),
+            cursor: QuarantineCursor {
+                source: self.source,
+                change: last.unwrap_or(self.change_count),
+            },
+            has_more,
+        }
+    }
+
     fn record_completed(&mut self, fingerprint: Fingerprint) {
         if self.recently_completed.contains(&fingerprint) {
             return;
@@ -289,14 +369,16 @@
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.crashes = entry.crashes.max((entry.crashes + 1).min(max_crashes));
             entry.expires = expires;
+            self.change_count += 1;
+            entry.change = self.change_count;
             return Some(entry.to_message(fingerprint, now));
         }
-        let entry = Entry { crashes: 1, clears: 0, lifts: 0, expires };
+        let entry = Entry::suspected(expires);
         let message = entry.to_message(fingerprint, now);
         self.insert(now, fingerprint, entry).then_some(message)
     }
 
-    fn insert(&mut self, now: Timestamp, fingerprint: Fingerprint, entry: Entry) -> bool {
+    fn insert(&mut self, now: Timestamp, fingerprint: Fingerprint, mut entry: Entry) -> bool {
         if self.entries.len() >= MAX_ENTRIES {
             self.expire(now);
         }
@@ -314,12 +396,19 @@
             };
             self.entries.remove(&victim);
         }
+        self.change_count += 1;
+        entry.change = self.change_count;
         self.entries.insert(fingerprint, entry);
         true
     }
 }
 
 impl Entry {
+    /// Returns the entry of a request that was running at its first crash.
+    fn suspected(expires: Timestamp) -> Entry {
+        Entry { crashes: 1, clears: 0, lifts: 0, expires, change: 0 }
+    }
+
     fn precedence(&self) -> Precedence {
         Precedence {
             lifts: self.lifts,
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -82,3 +82,32 @@
     quarantine.lift(now, fingerprint);
     assert_eq!(quarantine.check(now, fingerprint), QuarantineDecision::Allow);
 }
+
+/// Guards against entries that are left out between two pages of changes, or never told because the
+/// position comes from another process, such as the one before a restart.
+#[test]
+fn changes_are_told_in_pages_until_all_are_known() {
+    const ENTRIES: u128 = 10;
+    const PAGE: usize = 4;
+    let mut first = quarantine().with_source(1);
+    (0..ENTRIES).for_each(|fingerprint| first.suspect(NOW, Fingerprint(fingerprint)));
+    let mut known = Vec::new();
+    let mut cursor = None;
+    loop {
+        let page = first.changes_since(NOW, cursor.as_ref(), PAGE);
+        assert!(page.entries.len() <= PAGE);
+        known.extend(page.entries.iter().map(|entry| entry.fingerprint.0));
+        cursor = Some(page.cursor);
+        if !page.has_more {
+            break;
+        }
+    }
+    known.sort_unstable();
+    assert_eq!(known, (0..ENTRIES).collect::<Vec<_>>());
+    assert!(first.changes_since(NOW, cursor.as_ref(), PAGE).entries.is_empty());
+
+    let mut restarted = quarantine().with_source(2);
+    restarted.suspect(NOW, POPULAR);
+    let page = restarted.changes_since(NOW, cursor.as_ref(), PAGE);
+    assert_eq!(page.entries.len(), 1, "the position is that of the earlier process");
+}
--- a/crates/node/src/control/rpc_server.rs
+++ b/crates/node/src/control/rpc_server.rs
@@ -156,10 +156,10 @@
 }
 
 fn directory(shared: &Arc<Shared>, request: DirectoryRequest) -> DirectoryResponse {
-    let mut response = shared.control().directory_response(&request.query);
-    response.quarantine = shared.host().quarantine_list(shared.clock.now());
-    response.quarantine.truncate(MAX_QUARANTINE_ENTRIES);
-    response
+    let known = request.query.quarantine_cursor.as_ref();
+    let now = shared.clock.now();
+    let quarantine = shared.host().quarantine_changes_since(now, known, MAX_QUARANTINE_ENTRIES);
+    shared.control().directory_response(&request.query, quarantine)
 }
 
 fn config(shared: &Arc<Shared>, request: ConfigRequest) -> ConfigResponse {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,6 +12,7 @@
     HostInfo, MemberDepartures, MemberUpdate, Membership, MembershipConfig, OrderedMember, ProbeId,
     RecordedDeparture, UpstreamInfo, WatchOrder,
 };
+use snipehollow_core::quarantine::QuarantineChanges;
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::Candidate;
 use snipehollow_core::time::Timestamp;
@@ -311,10 +312,15 @@
         self.membership.get(host).map(|member| member.update.info.control)
     }
 
-    /// Responds to a query for hosts of services in this zone.
-    pub(crate) fn directory_response(&self, query: &DirectoryQuery) -> DirectoryResponse {
+    /// Responds to a query for hosts of services in this zone. `quarantine` has the changes after the
+    /// cursor of the query.
+    pub(crate) fn directory_response(
+        &self,
+        query: &DirectoryQuery,
+        quarantine: QuarantineChanges,
+    ) -> DirectoryResponse {
         let hosts = self.zone_hosts();
-        Directory::respond(query, &self.zone, self.seed_addrs(), |service| {
+        Directory::respond(query, &self.zone, self.seed_addrs(), quarantine, |service| {
             hosts.get(service).cloned().unwrap_or_default()
         })
     }
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -253,7 +253,7 @@
     }
 }
 
-async fn pull_directory(
+pub(super) async fn pull_directory(
     shared: Arc<Shared>,
     zone: ZoneName,
     from: SocketAddr,
--- a/crates/node/src/host/state.rs
+++ b/crates/node/src/host/state.rs
@@ -10,7 +10,9 @@
 use snipehollow_core::collections::{FastMap, FastSet};
 use snipehollow_core::ids::{ClassName, HostName, RequestId, ServiceName, TryId};
 use snipehollow_core::membership::{Departures, RecordedDeparture, UpstreamState};
-use snipehollow_core::quarantine::{Quarantine, QuarantineEntry};
+use snipehollow_core::quarantine::{
+    Quarantine, QuarantineChanges, QuarantineCursor, QuarantineEntry,
+};
 use snipehollow_core::retry::{ActiveRuns, AllowanceTable, RetryBudget};
 use snipehollow_core::rng::Rng;
 use snipehollow_core::routing::{
@@ -131,7 +133,7 @@
             admission_stopped: false,
             last_try_id: 0,
             waiting_tries: FastMap::default(),
-            quarantine: Quarantine::new(QUARANTINE_RETENTION),
+            quarantine: Quarantine::new(QUARANTINE_RETENTION).with_source(process_start.0),
             quarantine_changes: Vec::new(),
             tickets: TicketTable::new(
                 TicketConfig::new(),
@@ -415,6 +417,16 @@
         self.quarantine.list(now)
     }
 
+    /// Returns the changes of the quarantine for another zone; see [`Quarantine::changes_since`].
+    pub(crate) fn quarantine_changes_since(
+        &self,
+        now: Timestamp,
+        known: Option<&QuarantineCursor>,
+        max: usize,
+    ) -> QuarantineChanges {
+        self.quarantine.changes_since(now, known, max)
+    }
+
     /// Merges a quarantine entry from another node; returns whether the local state changed.
     pub(crate) fn merge_quarantine(&mut self, now: Timestamp, entry: &QuarantineEntry) -> bool {
         self.quarantine.merge(now, entry)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -81,6 +81,10 @@
     "true => EarlierDepartures::Incomplete" "true => EarlierDepartures::Unread" snipehollow-node lib
 mutate "departure that was taken back holds" crates/node/src/host/announcements.rs \
     "upstream.said_leaving = departed_finally;" "upstream.said_leaving = departed;" snipehollow-node lib
+mutate "quarantine entries beyond the first ones left out" $core/quarantine.rs \
+    "let has_more = changed.len() > max;" "let has_more = false;" snipehollow-node lib
+mutate "position in the quarantine of another process believed" $core/quarantine.rs \
+    "known.filter(|known| known.source == self.source)" "known" snipehollow-core quarantine
 mutate "try sent after its deadline" crates/node/src/host/tries.rs \
     "if now >= call.deadline {" "if false {" snipehollow-node lib
 mutate "try sent to an upstream that left" crates/node/src/host/tries.rs \
