--- a/crates/node/src/host/announcements.rs
+++ b/crates/node/src/host/announcements.rs
@@ -23,7 +23,7 @@
 pub(super) enum EarlierDepartures {
     /// They have not been read from the store.
     Unread,
-    /// Those that could not be saved before this process started are missing in the store.
+    /// Those that could not be saved before this process started may be missing in the store.
     Incomplete,
     /// All that may still matter are known.
     Known,
